Add members by the incarnation that asked to join; let samples wait for their judge

Cause: POST /v1/members required an incarnation that trestlectl cannot know, so 'members add' was always refused. A judge call that did not run counted as one of three calls, so a sample whose judge was not known yet was delivered without a score. Change: the leader adds the incarnation that asked to join (not_joining before), and takes the address of the new member from the call. Calls that did not run are repeated with a growing delay and do not count.

--- a/src/auburntrestle/consensus/events.cpp
+++ b/src/auburntrestle/consensus/events.cpp
@@ -21,6 +21,8 @@
       return "transferring_leadership";
     case RejectionReason::Stopped:
       return "stopped";
+    case RejectionReason::NotJoining:
+      return "not_joining";
     case RejectionReason::LeadershipLost:
       return "leadership_lost";
   }
--- a/src/auburntrestle/consensus/events.hpp
+++ b/src/auburntrestle/consensus/events.hpp
@@ -130,6 +130,8 @@
   TransferringLeadership,
   /** Not run: this member has stopped. */
   Stopped,
+  /** Not run: the instance to be added has not asked this leader to join. */
+  NotJoining,
   /** Outcome unknown: the entry was appended, then leadership was lost. */
   LeadershipLost,
 };
--- a/src/auburntrestle/daemon/configuration_api.cpp
+++ b/src/auburntrestle/daemon/configuration_api.cpp
@@ -287,19 +287,18 @@
   const auto body = ParseObject(aBody);
   FieldErrors errors = body ? FieldErrors{} : body.error();
   std::optional<consensus::MembershipChange> change;
+  InstanceId instance;
+  std::optional<std::string> addedAddress;
   if (body) {
     JsonReader reader(*body, errors);
     const auto word = reader.RequiredText("change");
-    const InstanceId instance(reader.RequiredText("instance"));
+    instance = InstanceId(reader.RequiredText("instance"));
     if (word == "promote") {
       change = consensus::PromoteLearner{ instance };
     } else if (word == "remove") {
       change = consensus::RemoveMember{ instance };
     } else if (word == "add") {
-      change = consensus::AddLearner{ consensus::MemberIdentity{
-        instance,
-        Incarnation(reader.RequiredNumber(
-          "incarnation", 1, internal::kLargestEditNumber)) } };
+      addedAddress = reader.RequiredText("address");
     } else {
       reader.Fault("change", "\"add\", \"promote\" or \"remove\"");
     }
@@ -308,25 +307,34 @@
     internal::SendRefusal(*aResponder, ErrorCode::BadRequest, Describe(errors));
     return;
   }
-  m_ledger.ChangeMembership(
-    *change,
+  const auto show =
     [this, responder = std::move(aResponder)](
       const tl::expected<void, consensus::RejectionReason>& aResult) {
-      if (aResult) {
-        ShowMembers(responder);
-      } else if (!consensus::IsNotRun(aResult.error())) {
-        responder->Send(
-          gateway::MakeErrorResponse(UnknownOutcomeError(ErrorCode::NoQuorum),
-                                     consensus::ToString(aResult.error())));
-      } else {
-        const bool leader =
-          aResult.error() != consensus::RejectionReason::NotLeader;
-        internal::SendRefusal(*responder,
-                              leader ? ErrorCode::Conflict
-                                     : ErrorCode::NoQuorum,
-                              consensus::ToString(aResult.error()));
-      }
-    });
+      ShowChange(aResult, responder);
+    };
+  if (addedAddress) {
+    m_ledger.AddMember(instance, *addedAddress, show);
+  } else {
+    m_ledger.ChangeMembership(*change, show);
+  }
+}
+
+void ConfigurationApi::ShowChange(
+  const tl::expected<void, consensus::RejectionReason>& aResult,
+  const ResponderPointer& aResponder)
+{
+  if (aResult) {
+    ShowMembers(aResponder);
+  } else if (!consensus::IsNotRun(aResult.error())) {
+    aResponder->Send(
+      gateway::MakeErrorResponse(UnknownOutcomeError(ErrorCode::NoQuorum),
+                                 consensus::ToString(aResult.error())));
+  } else {
+    const bool leader = aResult.error() != consensus::RejectionReason::NotLeader;
+    internal::SendRefusal(*aResponder,
+                          leader ? ErrorCode::Conflict : ErrorCode::NoQuorum,
+                          consensus::ToString(aResult.error()));
+  }
 }
 
 } // namespace auburntrestle::daemon
--- a/src/auburntrestle/daemon/ledger_service.cpp
+++ b/src/auburntrestle/daemon/ledger_service.cpp
@@ -312,6 +312,35 @@
     });
   }
 
+  void AddMember(
+    const InstanceId& aInstance,
+    const std::string& aAddress,
+    std::function<void(tl::expected<void, consensus::RejectionReason>)>
+      aCallback)
+  {
+    Post([this,
+          instance = aInstance,
+          address = aAddress,
+          callback = std::move(aCallback)] {
+      const auto joining = m_joining.find(instance);
+      if (joining == m_joining.end()) {
+        const bool leads = m_node && m_node->IsLeader();
+        m_main.Post([callback, leads] {
+          callback(tl::make_unexpected(
+            leads ? consensus::RejectionReason::NotJoining
+                  : consensus::RejectionReason::NotLeader));
+        });
+        return;
+      }
+      if (m_transport != nullptr) {
+        std::ignore = m_transport->SetPeer(instance, address);
+      }
+      ChangeMembership(consensus::AddLearner{ consensus::MemberIdentity{
+                         instance, joining->second } },
+                       callback);
+    });
+  }
+
   void TransferLeadership()
   {
     Post([this] {
@@ -759,6 +788,8 @@
     observe::LogLine(observe::LogLevel::Info, "ledger_join_requested")
       .Add("member", aAction.m_member.m_instance)
       .Add("incarnation", aAction.m_member.m_incarnation);
+    m_joining.insert_or_assign(aAction.m_member.m_instance,
+                               aAction.m_member.m_incarnation);
   }
 
   void On(const consensus::TornRecordRemoved& aAction)
@@ -810,6 +841,8 @@
   std::map<consensus::ProposalId,
            std::function<void(tl::expected<void, consensus::RejectionReason>)>>
     m_changes;
+  /** Instances that have asked to join, with the incarnation that asked. */
+  std::map<InstanceId, Incarnation> m_joining;
   /** The member that answered last; instances without a disk only. */
   std::optional<InstanceId> m_lastTarget;
   std::size_t m_turn = 0;
@@ -873,6 +906,14 @@
   m_implementation->ChangeMembership(std::move(aChange), std::move(aCallback));
 }
 
+void LedgerService::AddMember(
+  const InstanceId& aInstance,
+  const std::string& aAddress,
+  std::function<void(tl::expected<void, consensus::RejectionReason>)> aCallback)
+{
+  m_implementation->AddMember(aInstance, aAddress, std::move(aCallback));
+}
+
 void LedgerService::TakeMessage(const std::string& aPayload)
 {
   m_implementation->TakeMessage(aPayload);
--- a/src/auburntrestle/daemon/ledger_service.hpp
+++ b/src/auburntrestle/daemon/ledger_service.hpp
@@ -119,6 +119,18 @@
     std::function<void(tl::expected<void, consensus::RejectionReason>)>
       aCallback);
 
+  /**
+   * Adds an instance that has asked to join as a learner; works on the leader
+   * only.
+   *
+   * @param aAddress ip:port on which the instance listens for peers.
+   */
+  void AddMember(
+    const InstanceId& aInstance,
+    const std::string& aAddress,
+    std::function<void(tl::expected<void, consensus::RejectionReason>)>
+      aCallback);
+
   /** Takes a message of another member; may be called from any thread. */
   void TakeMessage(const std::string& aPayload);
   /** Answers kProposeMethod, kConfigurationMethod and kConfirmMethod. */
--- a/src/auburntrestle/rollout/internal/judging.cpp
+++ b/src/auburntrestle/rollout/internal/judging.cpp
@@ -156,10 +156,19 @@
     return;
   }
   --trainer.m_judgeCallsInFlight;
-  const bool mayRepeat = IsRepeatable(trainer) ||
-                         std::holds_alternative<NotRunError>(aEvent.m_error);
-  if (mayRepeat && sample.m_judgeCalls < m_policy.m_maxJudgeCalls) {
-    sample.m_notBefore = m_now + Backoff(sample.m_judgeCalls - 1);
+  const bool notRun = std::holds_alternative<NotRunError>(aEvent.m_error);
+  if (notRun) {
+    // Judges may be unknown for a while after a start. A call that did not run
+    // uses up nothing, so the sample waits for its score.
+    --sample.m_judgeCalls;
+    ++sample.m_judgeRefusals;
+  }
+  const bool mayRepeat =
+    notRun ||
+    (IsRepeatable(trainer) && sample.m_judgeCalls < m_policy.m_maxJudgeCalls);
+  if (mayRepeat) {
+    const auto failures = sample.m_judgeCalls + sample.m_judgeRefusals;
+    sample.m_notBefore = m_now + Backoff(failures - 1);
     trainer.m_judgeQueue.insert(found->m_key);
     return;
   }
--- a/src/auburntrestle/rollout/internal/state.hpp
+++ b/src/auburntrestle/rollout/internal/state.hpp
@@ -85,7 +85,9 @@
   std::optional<double> m_score;
   /** Judge calls of the present result whose answers are still accepted. */
   std::vector<Judgement> m_judgements;
+  /** Judge calls of the present result, without those that did not run. */
   std::size_t m_judgeCalls = 0;
+  std::size_t m_judgeRefusals = 0;
   std::size_t m_failures = 0;
   std::size_t m_reliefs = 0;
   /** When the present result was begun. */
--- a/src/auburntrestle/rollout/internal/state_machine.cpp
+++ b/src/auburntrestle/rollout/internal/state_machine.cpp
@@ -331,6 +331,7 @@
   sample.m_result.reset();
   sample.m_score.reset();
   sample.m_judgeCalls = 0;
+  sample.m_judgeRefusals = 0;
 }
 
 WeightVersion StateMachine::Newest(const ModelName& aModel) const
--- a/test/auburntrestle/end_to_end/faults_test.cpp
+++ b/test/auburntrestle/end_to_end/faults_test.cpp
@@ -248,5 +248,37 @@
             nlohmann::json::parse(expected.m_body)["choices"]);
 }
 
+// Guards against `members add` that the daemon refuses, because the incarnation
+// of the new member is known to the leader only.
+TEST(EndToEnd, OperatorAddsAMemberThatAskedToJoin)
+{
+  constexpr int kNewMember = 4;
+  Deployment deployment;
+  int calls = 0;
+  const auto add = [&] {
+    const int leader = deployment.Leader(1);
+    auto tool = deployment.StartTool("trestlectl",
+                                     "add" + std::to_string(++calls),
+                                     { "--target=" + deployment.Url(leader),
+                                       "members",
+                                       "add",
+                                       "i4",
+                                       Deployment::PeerAddress(kNewMember) });
+    const int code = tool.Wait();
+    return std::pair(code, tool.Output());
+  };
+  const auto refused = add();
+  EXPECT_NE(refused.first, 0);
+  EXPECT_NE(refused.second.find("not_joining"), std::string::npos)
+    << refused.second;
+  deployment.StartJoiningMember(kNewMember);
+  auto added = add();
+  while (added.second.find("not_joining") != std::string::npos) {
+    added = add();
+  }
+  EXPECT_EQ(added.first, 0) << added.second;
+  EXPECT_NE(added.second.find("learner"), std::string::npos) << added.second;
+}
+
 } // namespace
 } // namespace auburntrestle
