Send entries again only when they are late, and probes from where they began

Cause: with each heartbeat (100 ms) a leader took every unacknowledged entry for lost and sent it again, and began an unanswered probe anew at the first entry.

--- a/src/auburntrestle/consensus/internal/progress.hpp
+++ b/src/auburntrestle/consensus/internal/progress.hpp
@@ -38,8 +38,8 @@
   bool m_probeSent = false;
   /** The member holds no configuration and needs a snapshot. */
   bool m_needsSnapshot = false;
-  /** An acknowledgement arrived since the last heartbeat. */
-  bool m_advanced = false;
+  /** When entries were last acknowledged, or sent with none on their way. */
+  TimePoint m_progressAt;
   std::deque<Inflight> m_inflight;
   std::size_t m_inflightBytes = 0;
   std::uint64_t m_round = 0;
@@ -56,6 +56,10 @@
     m_inflightBytes = 0;
   }
 
+  /** Sends the probe again when its answer is late; where the logs match is as
+   * unknown as before. */
+  void RepeatProbe() { m_probeSent = false; }
+
   /** Records that all entries up to an index are acknowledged. */
   void Acknowledge(LogIndex aIndex)
   {
@@ -72,7 +76,14 @@
     m_mode = SendMode::Stream;
     m_probeSent = false;
     m_needsSnapshot = false;
-    m_advanced = true;
+  }
+
+  /** @return whether something that was sent waits for an acknowledgement. */
+  [[nodiscard]] bool IsWaiting() const
+  {
+    return m_mode == SendMode::Probe
+             ? m_probeSent
+             : m_mode == SendMode::Stream && m_next > m_match.Next();
   }
 };
 
--- a/src/auburntrestle/consensus/node.hpp
+++ b/src/auburntrestle/consensus/node.hpp
@@ -208,6 +208,7 @@
   void SendEntries(const MemberIdentity& aTo, internal::Progress& aProgress);
   void SendOne(const MemberIdentity& aTo, internal::Progress& aProgress);
   void SendSnapshot(const MemberIdentity& aTo, internal::Progress& aProgress);
+  void SendAgainWhenLate(internal::Progress& aProgress) const;
   void SendHeartbeats();
   void SyncProgress();
   void AdvanceCommit();
--- a/src/auburntrestle/consensus/node_replication.cpp
+++ b/src/auburntrestle/consensus/node_replication.cpp
@@ -100,6 +100,9 @@
 
 void Node::SendOne(const MemberIdentity& aTo, internal::Progress& aProgress)
 {
+  if (aProgress.m_mode == internal::SendMode::Probe || !aProgress.IsWaiting()) {
+    aProgress.m_progressAt = m_now;
+  }
   const LogIndex previous(aProgress.m_next.Get() - 1);
   AppendRequest request;
   request.m_previous =
@@ -128,6 +131,10 @@
       m_now < aProgress.m_snapshotSent + m_options.m_snapshotRetry) {
     return;
   }
+  if (m_now > aProgress.m_lastContact + m_options.m_electionTimeout) {
+    // A member that does not answer now gets its snapshot once it does.
+    return;
+  }
   auto snapshot = m_storage->ReadSnapshot();
   if (!snapshot) {
     Stop(StopReason::StorageFailed, snapshot.error());
@@ -138,6 +145,19 @@
   Send(aTo, SnapshotRequest{ std::move(*snapshot) });
 }
 
+void Node::SendAgainWhenLate(internal::Progress& aProgress) const
+{
+  if (!aProgress.IsWaiting() ||
+      m_now < aProgress.m_progressAt + m_options.m_resendAfter) {
+    return;
+  }
+  if (aProgress.m_mode == internal::SendMode::Probe) {
+    aProgress.RepeatProbe();
+  } else {
+    aProgress.BecomeProbe();
+  }
+}
+
 void Node::SendHeartbeats()
 {
   m_heartbeatDue = false;
@@ -155,12 +175,7 @@
                   m_hardState.m_term,
                   { m_log.TermAt(m_synced).value_or(Term{}), m_synced } });
   for (auto& [member, progress] : m_progress) {
-    if (progress.m_mode == internal::SendMode::Probe ||
-        (progress.m_mode == internal::SendMode::Stream &&
-         !progress.m_advanced && progress.m_next > progress.m_match.Next())) {
-      progress.BecomeProbe();
-    }
-    progress.m_advanced = false;
+    SendAgainWhenLate(progress);
     Send(
       member,
       Heartbeat{ std::min(m_commit, progress.m_match), m_round, acknowledged });
@@ -228,6 +243,7 @@
       return;
     }
     progress.Acknowledge(aBody.m_match);
+    progress.m_progressAt = m_now;
     Remember(Acknowledged{
       aMessage.m_from,
       aMessage.m_session.m_boot,
--- a/src/auburntrestle/daemon/configuration_api.cpp
+++ b/src/auburntrestle/daemon/configuration_api.cpp
@@ -330,7 +330,8 @@
       gateway::MakeErrorResponse(UnknownOutcomeError(ErrorCode::NoQuorum),
                                  consensus::ToString(aResult.error())));
   } else {
-    const bool leader = aResult.error() != consensus::RejectionReason::NotLeader;
+    const bool leader =
+      aResult.error() != consensus::RejectionReason::NotLeader;
     internal::SendRefusal(*aResponder,
                           leader ? ErrorCode::Conflict : ErrorCode::NoQuorum,
                           consensus::ToString(aResult.error()));
--- a/src/auburntrestle/daemon/configuration_api.hpp
+++ b/src/auburntrestle/daemon/configuration_api.hpp
@@ -32,9 +32,8 @@
   void ShowForce(ResponderPointer aResponder);
   void ShowMembers(ResponderPointer aResponder);
   void ChangeMembers(const std::string& aBody, ResponderPointer aResponder);
-  void ShowChange(
-    const tl::expected<void, consensus::RejectionReason>& aResult,
-    const ResponderPointer& aResponder);
+  void ShowChange(const tl::expected<void, consensus::RejectionReason>& aResult,
+                  const ResponderPointer& aResponder);
 
 private:
   LedgerService& m_ledger;
--- a/src/auburntrestle/daemon/ledger_service.cpp
+++ b/src/auburntrestle/daemon/ledger_service.cpp
@@ -326,9 +326,9 @@
       if (joining == m_joining.end()) {
         const bool leads = m_node && m_node->IsLeader();
         m_main.Post([callback, leads] {
-          callback(tl::make_unexpected(
-            leads ? consensus::RejectionReason::NotJoining
-                  : consensus::RejectionReason::NotLeader));
+          callback(
+            tl::make_unexpected(leads ? consensus::RejectionReason::NotJoining
+                                      : consensus::RejectionReason::NotLeader));
         });
         return;
       }
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -16,6 +16,7 @@
 using observe::LogLine;
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
+constexpr Duration kResendAfter = std::chrono::milliseconds(500);
 constexpr Duration kElectionTimeout = std::chrono::milliseconds(500);
 constexpr Duration kFirstElectionTimeout = std::chrono::milliseconds(150);
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(250);
@@ -84,6 +85,7 @@
       .count()));
   options.m_heartbeatInterval = kHeartbeatInterval;
   options.m_electionTimeout = kElectionTimeout;
+  options.m_resendAfter = kResendAfter;
   options.m_firstElectionTimeout = kFirstElectionTimeout;
   options.m_seed = RandomNumber();
   options.m_sessionNonce = RandomNumber();
--- a/src/auburntrestle/fleet/snapshot_sender.cpp
+++ b/src/auburntrestle/fleet/snapshot_sender.cpp
@@ -26,6 +26,10 @@
   }
   if (active) {
     active->m_stopped = true;
+  } else if (m_transfers.size() > kMaxTransfers) {
+    // The log asks again for a member that still lacks a snapshot.
+    m_transfers.erase(aTo);
+    return;
   }
   active = std::make_shared<Transfer>();
   active->m_to = aTo;
@@ -35,7 +39,8 @@
   active->m_progressAt = aNow;
   observe::LogLine(observe::LogLevel::Info, "snapshot_transfer_started")
     .Add("to", aTo)
-    .Add("segments", active->m_segments.size());
+    .Add("segments", active->m_segments.size())
+    .Add("state_bytes", active->m_message.size());
   const TransferPtr transfer = active;
   if (transfer->m_segments.empty()) {
     GoOn(transfer, 0);
--- a/src/auburntrestle/fleet/snapshot_sender.hpp
+++ b/src/auburntrestle/fleet/snapshot_sender.hpp
@@ -34,7 +34,8 @@
   SnapshotSender(CallPart aCall, SendSnapshot aSend);
 
   /**
-   * Begins to copy, unless a copy to this member makes progress.
+   * Begins to copy, unless a copy to this member makes progress or as many as
+   * allowed are in progress.
    *
    * @param aSegments the segments in use, with the end of the part in use.
    * @param aMessage the encoded message that carries the snapshot.
@@ -53,6 +54,8 @@
 private:
   /** A copy without progress for this long is given up. */
   static constexpr Duration kStallTime = std::chrono::seconds(2);
+  /** Copies at once; each holds a whole state in memory. */
+  static constexpr std::size_t kMaxTransfers = 2;
   static constexpr std::size_t kPartBytes = std::size_t{ 256 } * 1024;
 
   struct Transfer
--- a/test/auburntrestle/consensus/cluster.cpp
+++ b/test/auburntrestle/consensus/cluster.cpp
@@ -69,6 +69,7 @@
   options.m_verifyAfterRestart = m_options.m_verifyAfterRestart;
   options.m_autoPromote = m_options.m_autoPromote;
   options.m_maxMessageBytes = m_options.m_maxMessageBytes;
+  options.m_resendAfter = m_options.m_resendAfter;
   options.m_safeguards = m_options.m_safeguards;
   options.m_snapshotAfterEntries = 8;
   options.m_trailingEntries = 2;
--- a/test/auburntrestle/consensus/cluster.hpp
+++ b/test/auburntrestle/consensus/cluster.hpp
@@ -26,6 +26,7 @@
   bool m_verifyAfterRestart = false;
   bool m_autoPromote = true;
   std::size_t m_maxMessageBytes = std::size_t{ 256 } * 1024;
+  Duration m_resendAfter = std::chrono::milliseconds(50);
   Safeguards m_safeguards;
 };
 
