Take in as many learners as may be lost and one, from the data centres with the fewest members

Cause: all store machines followed the leader, so each byte of the log left it 14 times on the largest deployment; 3 of 5 voters suffice for an acknowledgement. Change: MembershipPolicy::m_learners, tolerated losses plus one; instances that are no members ask to join every 400 ms, pass commands on to the leader and learn its members from it (ReadMembers). The leader answers announcements that change nothing without an entry of the log. Tests: MembershipPlanTest.TakesInNoMoreThanAreWanted (failed before) and TakesInFromTheDataCentreWithTheFewestMembers.

--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -254,6 +254,7 @@
     if (m_role == NodeRole::Leader) {
       m_heartbeatDue = true;
     } else if (Current().Find(m_identity) == nullptr) {
+      m_heartbeatDeadline = m_now + m_options.m_joinInterval;
       AskToJoin();
     } else if (m_verification) {
       AskForVerification();
--- a/src/auburntrestle/consensus/options.hpp
+++ b/src/auburntrestle/consensus/options.hpp
@@ -73,6 +73,8 @@
   std::size_t m_maxMessageBytes = std::size_t{ 256 } * 1024;
   /** Most bytes of entries sent to a member and not yet acknowledged. */
   std::size_t m_maxInflightBytes = std::size_t{ 1024 } * 1024;
+  /** Time between requests of an instance that wants to become a member. */
+  Duration m_joinInterval = std::chrono::milliseconds(50);
   /** Time without an acknowledgement after which entries are sent again. A
    * transport that loses messages only with a connection needs a long one:
    * what is merely slow must not be sent twice. */
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -182,6 +182,16 @@
   aArchive(aQuery.m_configuration, aQuery.m_term, aQuery.m_directory);
 }
 
+void Fields(auto& aArchive, Of<fleet::ReadMembers> auto& /*aQuery*/)
+{
+  aArchive();
+}
+
+void Fields(auto& aArchive, Of<fleet::MembersView> auto& aAnswer)
+{
+  aArchive(aAnswer.m_members);
+}
+
 void Fields(auto& aArchive, Of<fleet::CommandAnswer> auto& aAnswer)
 {
   aArchive(aAnswer.m_result);
--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -64,9 +64,9 @@
            progress->m_match.Get() + kMaxLag >= m_status.m_last.m_index.Get();
   }
 
-  [[nodiscard]] DataCentreId DataCentreOf(const Member& aMember) const
+  [[nodiscard]] DataCentreId DataCentreOf(const InstanceId& aInstance) const
   {
-    const auto found = m_state.Members().find(aMember.m_identity.m_instance);
+    const auto found = m_state.Members().find(aInstance);
     return found == m_state.Members().end() ? DataCentreId()
                                             : found->second.m_dataCentre;
   }
@@ -88,14 +88,60 @@
     return live * 2 > voters;
   }
 
+  /** @return whether a member stays and was heard of lately. */
+  [[nodiscard]] bool IsInUse(const Member& aMember) const
+  {
+    return !IsRetiring(aMember) && !IsSilent(aMember, m_policy.m_voterLossTime);
+  }
+
+  /** @return the number of members of a role that are in use. */
+  [[nodiscard]] std::size_t InUse(MemberRole aRole) const
+  {
+    const auto& members = m_status.m_configuration.m_members;
+    return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const Member& aMember) {
+        return aMember.m_role == aRole && IsInUse(aMember);
+      }));
+  }
+
+  /** @return the instance to take in next, in the data centre with the fewest
+   * members, or null if none asks or none is wanted. */
+  [[nodiscard]] const consensus::MemberIdentity* BestJoining(
+    const std::vector<consensus::MemberIdentity>& aJoining) const
+  {
+    const std::size_t voters = InUse(MemberRole::Voter);
+    const std::size_t missing =
+      m_policy.m_voters - std::min(m_policy.m_voters, voters);
+    if (InUse(MemberRole::Learner) >= m_policy.m_learners + missing) {
+      return nullptr;
+    }
+    std::map<DataCentreId, std::size_t> members;
+    for (const Member& member : m_status.m_configuration.m_members) {
+      members[DataCentreOf(member.m_identity.m_instance)] +=
+        IsInUse(member) ? 1 : 0;
+    }
+    const consensus::MemberIdentity* best = nullptr;
+    for (const auto& joining : aJoining) {
+      const auto& instance = joining.m_instance;
+      if (m_status.m_configuration.FindInstance(instance) != nullptr ||
+          m_state.IsRetiring(instance)) {
+        continue;
+      }
+      if (best == nullptr || members[DataCentreOf(instance)] <
+                               members[DataCentreOf(best->m_instance)]) {
+        best = &joining;
+      }
+    }
+    return best;
+  }
+
   /** @return the ready learner in the data centre with the fewest voters. */
   [[nodiscard]] const Member* BestLearner() const
   {
     std::map<DataCentreId, std::size_t> voters;
     for (const Member& member : m_status.m_configuration.m_members) {
-      if (member.m_role == MemberRole::Voter &&
-          !IsSilent(member, m_policy.m_voterLossTime) && !IsRetiring(member)) {
-        ++voters[DataCentreOf(member)];
+      if (member.m_role == MemberRole::Voter && IsInUse(member)) {
+        ++voters[DataCentreOf(member.m_identity.m_instance)];
       }
     }
     const Member* best = nullptr;
@@ -105,7 +151,8 @@
         continue;
       }
       if (best == nullptr ||
-          voters[DataCentreOf(member)] < voters[DataCentreOf(*best)]) {
+          voters[DataCentreOf(member.m_identity.m_instance)] <
+            voters[DataCentreOf(best->m_identity.m_instance)]) {
         best = &member;
       }
     }
@@ -133,21 +180,11 @@
 {
   const View view(aPolicy, aStatus, aState, aNow);
   const auto& members = aStatus.m_configuration.m_members;
-  for (const auto& joining : aJoining) {
-    const Member* known =
-      aStatus.m_configuration.FindInstance(joining.m_instance);
-    if (known == nullptr && !aState.IsRetiring(joining.m_instance)) {
-      return consensus::AddLearner{ joining };
-    }
-  }
-  std::size_t wanted = 0;
-  for (const Member& member : members) {
-    const bool stays = member.m_role == MemberRole::Voter &&
-                       !view.IsRetiring(member) &&
-                       !view.IsSilent(member, aPolicy.m_voterLossTime);
-    wanted += stays ? 1 : 0;
+  if (const auto* joining = view.BestJoining(aJoining)) {
+    return consensus::AddLearner{ *joining };
   }
-  if (wanted < aPolicy.m_voters) {
+  const std::size_t voters = view.InUse(MemberRole::Voter);
+  if (voters < aPolicy.m_voters) {
     if (const Member* learner = view.BestLearner()) {
       return consensus::PromoteLearner{ learner->m_identity.m_instance };
     }
@@ -162,7 +199,7 @@
     }
     // A lost voter stays until another one has taken its place, because its
     // disk may hold what others lose.
-    if (voter && lost && !leaves && wanted < aPolicy.m_voters) {
+    if (voter && lost && !leaves && voters < aPolicy.m_voters) {
       continue;
     }
     if (!voter || view.MajorityWithout(member)) {
--- a/src/auburntrestle/fleet/membership_plan.hpp
+++ b/src/auburntrestle/fleet/membership_plan.hpp
@@ -14,8 +14,10 @@
 /** How the members of the log are chosen. */
 struct MembershipPolicy
 {
-  /** Voters wanted; further members stay learners, ready to replace one. */
   std::size_t m_voters = 3;
+  /** Learners wanted beside the voters, each ready to replace one. Every member
+   * costs the leader a copy of the log, so further instances wait. */
+  std::size_t m_learners = 2;
   /** A voter not heard of for this long is replaced. */
   Duration m_voterLossTime = std::chrono::seconds(5);
   /** A learner not heard of for this long is removed. */
@@ -24,9 +26,10 @@
 
 /**
  * Decides the next change of the members of the log, at most one at a time:
- * takes in those who ask, keeps the wanted number of voters spread over the
- * data centres, replaces lost voters and empties retiring machines. A voter is
- * only removed while a majority of the others is in contact.
+ * takes in as many of those who ask as are wanted, keeps the wanted number of
+ * voters spread over the data centres, replaces lost voters and empties
+ * retiring machines. A voter is only removed while a majority of the others is
+ * in contact.
  *
  * @param aStatus the status of the leader.
  * @param aJoining members that asked to be taken in, oldest first.
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -75,8 +75,16 @@
   DirectoryRevision m_directory;
 };
 
-using Query =
-  std::variant<ReadJob, ReadItem, ReadConfiguration, ReadRetirement, Watch>;
+/** Asks for the members of the log; answered by MembersView. */
+struct ReadMembers
+{};
+
+using Query = std::variant<ReadJob,
+                           ReadItem,
+                           ReadConfiguration,
+                           ReadRetirement,
+                           Watch,
+                           ReadMembers>;
 
 /** What became of a proposed command. */
 struct CommandAnswer
@@ -119,6 +127,12 @@
   Retirement m_state = Retirement::Unknown;
 };
 
+/** The members of the log, any of which may lead. */
+struct MembersView
+{
+  std::vector<InstanceId> m_members;
+};
+
 /** What changed since a Watch. */
 struct DirectoryView
 {
@@ -137,7 +151,8 @@
                             ItemView,
                             ConfigurationView,
                             RetirementView,
-                            DirectoryView>;
+                            DirectoryView,
+                            MembersView>;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -17,6 +17,7 @@
 
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
 constexpr Duration kResendAfter = std::chrono::milliseconds(500);
+constexpr Duration kJoinInterval = std::chrono::milliseconds(400);
 constexpr Duration kElectionTimeout = std::chrono::milliseconds(500);
 constexpr Duration kFirstElectionTimeout = std::chrono::milliseconds(150);
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(250);
@@ -86,6 +87,7 @@
   options.m_heartbeatInterval = kHeartbeatInterval;
   options.m_electionTimeout = kElectionTimeout;
   options.m_resendAfter = kResendAfter;
+  options.m_joinInterval = kJoinInterval;
   options.m_firstElectionTimeout = kFirstElectionTimeout;
   options.m_seed = RandomNumber();
   options.m_sessionNonce = RandomNumber();
@@ -472,6 +474,10 @@
 
 void Replica::On(const consensus::JoinRequested& aAction)
 {
+  if (std::find(m_joining.begin(), m_joining.end(), aAction.m_member) !=
+      m_joining.end()) {
+    return;
+  }
   std::erase_if(m_joining, [&](const consensus::MemberIdentity& aOther) {
     return aOther.m_instance == aAction.m_member.m_instance;
   });
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -80,6 +80,7 @@
   replica.m_seeds = m_options.m_seeds;
   replica.m_bootstrap = m_store.m_bootstrap;
   replica.m_membership.m_voters = 2 * m_store.m_toleratedLosses + 1;
+  replica.m_membership.m_learners = m_store.m_toleratedLosses + 1;
   auto opened = Replica::Open(
     m_loop,
     std::move(replica),
@@ -195,9 +196,27 @@
                     kControlTimeout,
                     [](const tl::expected<CommandResult, LinkError>&) {});
   }
+  if (m_replica->Status().m_configuration.FindInstance(m_options.m_self) ==
+      nullptr) {
+    FollowMembers();
+  }
   m_loop.After(kAnnounceInterval, [this] { AnnounceMyself(); });
 }
 
+void StoreService::FollowMembers()
+{
+  m_link->Ask(ReadMembers{},
+              kControlTimeout,
+              Duration::zero(),
+              [this](const tl::expected<Answer, LinkError>& aAnswer) {
+                const auto* view =
+                  aAnswer ? std::get_if<MembersView>(&*aAnswer) : nullptr;
+                if (view != nullptr) {
+                  m_link->SetCandidates(view->m_members);
+                }
+              });
+}
+
 void StoreService::TakeCall(protocol::Method aMethod,
                             const std::string& aPayload,
                             const protocol::Reply& aReply)
@@ -300,6 +319,13 @@
   const Command& aCommand,
   std::function<void(tl::expected<CommandResult, LinkError>)> aCallback)
 {
+  const auto* announced = std::get_if<AnnounceBackend>(&aCommand);
+  if (announced != nullptr && m_replica->Leads() &&
+      !m_replica->GetState().IsNews(announced->m_record)) {
+    // Instances that are no members pass every heartbeat on.
+    aCallback(CommandResult::Done);
+    return;
+  }
   const TimePoint started = MonotonicClock::Now();
   m_replica->Propose(
     aCommand,
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -87,6 +87,9 @@
   [[nodiscard]] LocalLeader MakeLocalLeader();
   [[nodiscard]] protocol::PeerHandlers MakePeerHandlers();
   void AnnounceMyself();
+  /** Learns from the leader who may lead next, while this instance is no member
+   * of the log itself. */
+  void FollowMembers();
 
   // The leader's side.
   void ProposeHere(
--- a/test/auburntrestle/fleet/membership_plan_test.cpp
+++ b/test/auburntrestle/fleet/membership_plan_test.cpp
@@ -85,6 +85,37 @@
   EXPECT_EQ(Plan(), "add e");
 }
 
+// Guards against a leader that copies the log to every instance with a disk.
+TEST_F(MembershipPlanTest, TakesInNoMoreThanAreWanted)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter);
+  Add("d", MemberRole::Learner);
+  m_joining = { Identity("e") };
+  EXPECT_EQ(Plan(), "add e");
+  Add("f", MemberRole::Learner);
+  EXPECT_EQ(Plan(), "none");
+  m_status.m_progress.back().m_lastContact -= std::chrono::seconds(6);
+  EXPECT_EQ(Plan(), "add e");
+}
+
+// Guards against a log whose voters can't be spread over the data centres,
+// because all learners are in one of them.
+TEST_F(MembershipPlanTest, TakesInFromTheDataCentreWithTheFewestMembers)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter);
+  for (const auto& [name, centre] :
+       { std::pair{ "e", "dc-a" }, std::pair{ "f", "dc-z" } }) {
+    std::ignore = m_state.Apply(AnnounceMember{
+      InstanceId(name), std::string("machine-") + name, DataCentreId(centre) });
+    m_joining.push_back(Identity(name));
+  }
+  EXPECT_EQ(Plan(), "add f");
+}
+
 // Guards against removing a disk before another one holds its contents.
 TEST_F(MembershipPlanTest, ReplacesALostVoterBeforeItIsRemoved)
 {
