Let stores outside the log know who leads, and join through any store

With few members the leader may be none of the seeds; stores outside the log knew no leader, so entry instances that restarted never found it, requests to join went to founders only, and a store that was removed while it was down believed in its own old configuration for ever. The log showed b-2 leading and accepting from 47.04 s on, and no entry instance finding it. Change: the leader names itself and the members once a second to instances that are none (LeaderNotice); they refer others to it, and ask all members to join.

--- a/src/auburntrestle/consensus/events.hpp
+++ b/src/auburntrestle/consensus/events.hpp
@@ -77,13 +77,21 @@
 struct TransferLeadership
 {};
 
+/** Names the members of the log to an instance that may not be one of them,
+ * because it is new or was removed while it was down. */
+struct MembersNamed
+{
+  std::vector<InstanceId> m_members;
+};
+
 using Event = std::variant<MessageReceived,
                            Propose,
                            ReadRequest,
                            Tick,
                            ChangeMembership,
                            SnapshotTaken,
-                           TransferLeadership>;
+                           TransferLeadership,
+                           MembersNamed>;
 
 /** Send a message; it may be lost. */
 struct SendMessage
--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -253,7 +253,7 @@
     m_heartbeatDeadline = m_now + m_options.m_heartbeatInterval;
     if (m_role == NodeRole::Leader) {
       m_heartbeatDue = true;
-    } else if (Current().Find(m_identity) == nullptr) {
+    } else if (IsOutside()) {
       m_heartbeatDeadline = m_now + m_options.m_joinInterval;
       AskToJoin();
     } else if (m_verification) {
@@ -262,6 +262,20 @@
   }
 }
 
+bool Node::IsOutside() const
+{
+  // A configuration of its own may be from before it was removed.
+  return Current().Find(m_identity) == nullptr ||
+         (!m_namedMembers.empty() &&
+          !m_namedMembers.contains(m_identity.m_instance));
+}
+
+void Node::Process(const MembersNamed& aEvent)
+{
+  m_namedMembers.clear();
+  m_namedMembers.insert(aEvent.m_members.begin(), aEvent.m_members.end());
+}
+
 void Node::AskToJoin()
 {
   if (m_leader && m_now < m_leaderContact + m_options.m_electionTimeout) {
@@ -273,6 +287,7 @@
   for (const Member& member : Current().m_members) {
     asked.insert(member.m_identity.m_instance);
   }
+  asked.insert(m_namedMembers.begin(), m_namedMembers.end());
   asked.erase(m_options.m_self);
   for (const InstanceId& instance : asked) {
     Send({ instance, kAnyIncarnation }, JoinRequest{});
--- a/src/auburntrestle/consensus/node.hpp
+++ b/src/auburntrestle/consensus/node.hpp
@@ -159,6 +159,8 @@
   [[nodiscard]] tl::expected<void, StorageError> Found(Recovered& aRecovered);
   void LoadLog(const Recovered& aRecovered);
   void AskToJoin();
+  /** @return whether this instance is no member as far as it knows. */
+  [[nodiscard]] bool IsOutside() const;
   void Retire(Incarnation aKnown);
 
   // Events.
@@ -169,6 +171,7 @@
   void Process(const ChangeMembership& aEvent);
   void Process(const SnapshotTaken& aEvent);
   void Process(const TransferLeadership& aEvent);
+  void Process(const MembersNamed& aEvent);
   void Finish();
 
   // Messages.
@@ -298,6 +301,8 @@
   TimePoint m_now;
   TimePoint m_electionDeadline;
   TimePoint m_heartbeatDeadline;
+  /** The members as another instance named them last. */
+  std::set<InstanceId> m_namedMembers;
   TimePoint m_quorumDeadline;
   TimePoint m_leaderContact;
   std::vector<Action>* m_actions = nullptr;
--- a/src/auburntrestle/fleet/codec.cpp
+++ b/src/auburntrestle/fleet/codec.cpp
@@ -44,6 +44,16 @@
   return protocol::Unpack<TextPart>(aBytes);
 }
 
+std::string Encode(const LeaderNotice& aNotice)
+{
+  return protocol::Pack(aNotice);
+}
+
+protocol::Expected<LeaderNotice> DecodeLeaderNotice(std::string_view aBytes)
+{
+  return protocol::Unpack<LeaderNotice>(aBytes);
+}
+
 std::string EncodeSize(std::uint64_t aSize)
 {
   return protocol::Pack(aSize);
--- a/src/auburntrestle/fleet/codec.hpp
+++ b/src/auburntrestle/fleet/codec.hpp
@@ -27,6 +27,10 @@
   std::string_view aBytes);
 
 /** @return a number of bytes as MessagePack. */
+[[nodiscard]] std::string Encode(const LeaderNotice& aNotice);
+[[nodiscard]] protocol::Expected<LeaderNotice> DecodeLeaderNotice(
+  std::string_view aBytes);
+
 [[nodiscard]] std::string EncodeSize(std::uint64_t aSize);
 [[nodiscard]] protocol::Expected<std::uint64_t> DecodeSize(
   std::string_view aBytes);
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -182,14 +182,9 @@
   aArchive(aQuery.m_configuration, aQuery.m_term, aQuery.m_directory);
 }
 
-void Fields(auto& aArchive, Of<fleet::ReadMembers> auto& /*aQuery*/)
+void Fields(auto& aArchive, Of<fleet::LeaderNotice> auto& aNotice)
 {
-  aArchive();
-}
-
-void Fields(auto& aArchive, Of<fleet::MembersView> auto& aAnswer)
-{
-  aArchive(aAnswer.m_members);
+  aArchive(aNotice.m_term, aNotice.m_leader, aNotice.m_members);
 }
 
 void Fields(auto& aArchive, Of<fleet::CommandAnswer> auto& aAnswer)
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -17,6 +17,8 @@
 
 /** Messages of the replicated log. */
 inline constexpr protocol::Channel kLogChannel{ 1 };
+/** Tells an instance with a disk that is no member of the log who leads. */
+inline constexpr protocol::Channel kLeaderChannel{ 2 };
 /** Proposes a Command at the leader; answered by CommandAnswer. */
 inline constexpr protocol::Method kProposeMethod{ 1 };
 /** Asks the leader a Query. */
@@ -26,6 +28,14 @@
  * that the member holds of the segment. */
 inline constexpr protocol::Method kTextPartMethod{ 3 };
 
+/** Who leads the log, and who may lead it next. */
+struct LeaderNotice
+{
+  Term m_term;
+  InstanceId m_leader;
+  std::vector<InstanceId> m_members;
+};
+
 /** A part of a text segment. */
 struct TextPart
 {
@@ -75,16 +85,8 @@
   DirectoryRevision m_directory;
 };
 
-/** Asks for the members of the log; answered by MembersView. */
-struct ReadMembers
-{};
-
-using Query = std::variant<ReadJob,
-                           ReadItem,
-                           ReadConfiguration,
-                           ReadRetirement,
-                           Watch,
-                           ReadMembers>;
+using Query =
+  std::variant<ReadJob, ReadItem, ReadConfiguration, ReadRetirement, Watch>;
 
 /** What became of a proposed command. */
 struct CommandAnswer
@@ -127,12 +129,6 @@
   Retirement m_state = Retirement::Unknown;
 };
 
-/** The members of the log, any of which may lead. */
-struct MembersView
-{
-  std::vector<InstanceId> m_members;
-};
-
 /** What changed since a Watch. */
 struct DirectoryView
 {
@@ -151,8 +147,7 @@
                             ItemView,
                             ConfigurationView,
                             RetirementView,
-                            DirectoryView,
-                            MembersView>;
+                            DirectoryView>;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -123,24 +123,10 @@
       backends.push_back(record);
     }
   }
-  view.m_members = LogMembers();
+  view.m_members = m_replica.LogMembers();
   return view;
 }
 
-std::vector<InstanceId> QueryServer::LogMembers() const
-{
-  std::vector<InstanceId> members;
-  for (const auto& member : m_replica.Status().m_configuration.m_members) {
-    members.push_back(member.m_identity.m_instance);
-  }
-  return members;
-}
-
-std::optional<Answer> QueryServer::ReadNow(const ReadMembers& /*aQuery*/) const
-{
-  return Answer(MembersView{ LogMembers() });
-}
-
 std::optional<Answer> QueryServer::ReadNow(const Watch& aQuery) const
 {
   DirectoryView view = ViewFor(aQuery);
@@ -189,7 +175,6 @@
             }
             callback(Answer(view));
           },
-          [&](const ReadMembers& aRead) { callback(ReadNow(aRead)); },
           [&](const Watch& aWatch) { callback(Answer(ViewFor(aWatch))); } },
         aQuery);
     });
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -50,8 +50,6 @@
   [[nodiscard]] std::optional<Answer> ReadNow(
     const ReadRetirement& aQuery) const;
   [[nodiscard]] std::optional<Answer> ReadNow(const Watch& aQuery) const;
-  [[nodiscard]] std::optional<Answer> ReadNow(const ReadMembers& aQuery) const;
-  [[nodiscard]] std::vector<InstanceId> LogMembers() const;
   [[nodiscard]] DirectoryView ViewFor(const Watch& aQuery) const;
   void AnswerConfirmed(const Query& aQuery, AnswerCallback aCallback);
   void Hold(const Query& aQuery, Duration aTime, AnswerCallback aCallback);
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -165,6 +165,20 @@
   Push(consensus::MessageReceived{ std::move(*message) });
 }
 
+std::vector<InstanceId> Replica::LogMembers() const
+{
+  std::vector<InstanceId> members;
+  for (const auto& member : Status().m_configuration.m_members) {
+    members.push_back(member.m_identity.m_instance);
+  }
+  return members;
+}
+
+void Replica::NameMembers(const std::vector<InstanceId>& aMembers)
+{
+  Push(consensus::MembersNamed{ aMembers });
+}
+
 void Replica::TransferLeadership()
 {
   Push(consensus::TransferLeadership{});
--- a/src/auburntrestle/fleet/replica.hpp
+++ b/src/auburntrestle/fleet/replica.hpp
@@ -92,6 +92,11 @@
   /** Takes a part of a text segment. @return how much of it is held. */
   [[nodiscard]] tl::expected<std::uint64_t, TextStoreError> TakeTextPart(
     const TextPart& aPart);
+  /** @return the members of the log as far as this instance knows. */
+  [[nodiscard]] std::vector<InstanceId> LogMembers() const;
+  /** Tells the log who its members are, so that an instance that is none of
+   * them can ask them to be taken in. */
+  void NameMembers(const std::vector<InstanceId>& aMembers);
   /** Hands leadership over before a shutdown. */
   void TransferLeadership();
 
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kControlTimeout = std::chrono::milliseconds(900);
 constexpr Duration kTextPartTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
+/** A leader that named itself this long ago may be gone. */
+constexpr Duration kNoticeTime = std::chrono::seconds(3);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
 
 ControlOutcome OutcomeOf(const tl::expected<CommandResult, LinkError>& aResult)
@@ -152,7 +154,7 @@
 LocalLeader StoreService::MakeLocalLeader()
 {
   return LocalLeader{ [this] { return m_replica->Leads(); },
-                      [this] { return m_replica->Leader(); },
+                      [this] { return KnownLeader(); },
                       [this](const Command& aCommand, auto aCallback) {
                         ProposeHere(aCommand, std::move(aCallback));
                       },
@@ -171,6 +173,9 @@
       m_loop.Post([this, payload = std::move(aPayload)] {
         m_replica->TakeMessage(payload);
       });
+    } else if (aChannel == kLeaderChannel) {
+      m_loop.Post(
+        [this, payload = std::move(aPayload)] { TakeNotice(payload); });
     }
   };
   handlers.m_onCall = [this](const InstanceId&,
@@ -196,25 +201,58 @@
                     kControlTimeout,
                     [](const tl::expected<CommandResult, LinkError>&) {});
   }
-  if (m_replica->Status().m_configuration.FindInstance(m_options.m_self) ==
-      nullptr) {
-    FollowMembers();
-  }
+  NotifyOthers();
   m_loop.After(kAnnounceInterval, [this] { AnnounceMyself(); });
 }
 
-void StoreService::FollowMembers()
+void StoreService::NotifyOthers()
 {
-  m_link->Ask(ReadMembers{},
-              kControlTimeout,
-              Duration::zero(),
-              [this](const tl::expected<Answer, LinkError>& aAnswer) {
-                const auto* view =
-                  aAnswer ? std::get_if<MembersView>(&*aAnswer) : nullptr;
-                if (view != nullptr) {
-                  m_link->SetCandidates(view->m_members);
-                }
-              });
+  if (!m_replica->Leads()) {
+    return;
+  }
+  const auto members = m_replica->LogMembers();
+  const auto notice =
+    Encode(LeaderNotice{ m_replica->GetTerm(), m_options.m_self, members });
+  for (const auto& [instance, record] : m_replica->GetState().Members()) {
+    if (std::find(members.begin(), members.end(), instance) == members.end()) {
+      std::ignore = m_transport->SetPeer(instance, instance.Get());
+      // Lost notices are made good by the next one.
+      std::ignore = m_transport->Send(instance, kLeaderChannel, notice);
+    }
+  }
+}
+
+void StoreService::TakeNotice(const std::string& aPayload)
+{
+  auto notice = DecodeLeaderNotice(aPayload);
+  if (!notice) {
+    LogLine(LogLevel::Warning, "leader_notice_unreadable")
+      .Add("bytes", aPayload.size());
+    return;
+  }
+  if (notice->m_term < m_notice.m_term) {
+    return;
+  }
+  if (notice->m_leader != m_notice.m_leader) {
+    LogLine(LogLevel::Info, "leader_named")
+      .Add("leader", notice->m_leader)
+      .Add("term", notice->m_term);
+  }
+  m_notice = std::move(*notice);
+  m_noticedAt = MonotonicClock::Now();
+  m_link->SetCandidates(m_notice.m_members);
+  m_replica->NameMembers(m_notice.m_members);
+}
+
+std::optional<InstanceId> StoreService::KnownLeader() const
+{
+  if (const auto leader = m_replica->Leader()) {
+    return leader;
+  }
+  const bool fresh = MonotonicClock::Now() - m_noticedAt < kNoticeTime;
+  return fresh && m_notice.m_leader != m_options.m_self
+           ? std::optional(m_notice.m_leader)
+           : std::nullopt;
 }
 
 void StoreService::TakeCall(protocol::Method aMethod,
@@ -226,7 +264,7 @@
     return;
   }
   const auto refuse = [this, aReply] {
-    const auto leader = m_replica->Leader();
+    const auto leader = KnownLeader();
     aReply.Refuse(leader ? leader->Get() : std::string());
   };
   if (!m_replica->Leads()) {
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -87,9 +87,11 @@
   [[nodiscard]] LocalLeader MakeLocalLeader();
   [[nodiscard]] protocol::PeerHandlers MakePeerHandlers();
   void AnnounceMyself();
-  /** Learns from the leader who may lead next, while this instance is no member
-   * of the log itself. */
-  void FollowMembers();
+  /** Tells instances with a disk that are no members who leads. */
+  void NotifyOthers();
+  void TakeNotice(const std::string& aPayload);
+  /** @return the leader as far as is known here. */
+  [[nodiscard]] std::optional<InstanceId> KnownLeader() const;
 
   // The leader's side.
   void ProposeHere(
@@ -122,6 +124,9 @@
   std::unique_ptr<EnginePool> m_engines;
   std::unique_ptr<JobRunner> m_runner;
   std::shared_ptr<const RouteTable> m_routes;
+  /** The newest notice of a leader to this instance, and when it came. */
+  LeaderNotice m_notice;
+  TimePoint m_noticedAt{};
   /** When an order to an engine was last applied here. */
   std::optional<TimePoint> m_lastOrder;
   /** Destroyed first, because its thread calls into the rest. */
--- a/test/platform/instance_files.hpp
+++ b/test/platform/instance_files.hpp
@@ -61,6 +61,7 @@
   std::string m_control;
   std::filesystem::path m_dataFolder;
   bool m_bootstrap = false;
+  int m_toleratedLosses = 1;
   int m_leaseMs = 200;
   /** Of an entry instance. */
   std::string m_callers;
@@ -90,7 +91,8 @@
     }
     return text + "control = \"" + m_control + "\"\n[log]\ndata_folder = \"" +
            m_dataFolder.string() +
-           "\"\nbootstrap = " + (m_bootstrap ? "true" : "false") + "\n";
+           "\"\nbootstrap = " + (m_bootstrap ? "true" : "false") +
+           "\ntolerated_losses = " + std::to_string(m_toleratedLosses) + "\n";
   }
 
   /** Writes the file into a folder and starts the instance. */
