Reload seeds and log level on SIGHUP, and say what needs a restart

Cause: a changed settings file was checked and then ignored. Change: CompareSettings names the keys that differ; peers.seeds and logging.level are taken over while the instance runs; the line settings_reloaded names both. Tests: SettingsChangeTest (8 rows), WholePathTest.ReloadsItsSettingsOnASignal.

--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -45,6 +45,11 @@
   ~EntryService();
 
   /** Sets what is called after each new configuration. */
+  /** Takes other seeds from changed settings. */
+  void SetSeeds(std::vector<InstanceId> aSeeds)
+  {
+    m_link->SetSeeds(std::move(aSeeds));
+  }
   void OnConfiguration(std::function<void(const RouteTable&)> aWork)
   {
     m_onConfiguration = std::move(aWork);
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -199,4 +199,37 @@
   return settings;
 }
 
+SettingsChange CompareSettings(const FleetSettings& aInForce,
+                               const FleetSettings& aChanged)
+{
+  SettingsChange change;
+  const auto compare = [&](std::vector<std::string>& aKeys,
+                           const char* aKey,
+                           const auto& aMember) {
+    if (aInForce.*aMember != aChanged.*aMember) {
+      aKeys.emplace_back(aKey);
+    }
+  };
+  compare(change.m_applied, "logging.level", &FleetSettings::m_logLevel);
+  compare(change.m_applied, "peers.seeds", &FleetSettings::m_seeds);
+  auto& restart = change.m_needRestart;
+  compare(restart, "instance.role", &FleetSettings::m_role);
+  compare(restart, "instance.machine", &FleetSettings::m_machine);
+  compare(restart, "instance.data_centre", &FleetSettings::m_dataCentre);
+  compare(restart, "listen.callers", &FleetSettings::m_callerAddress);
+  compare(restart, "listen.readiness", &FleetSettings::m_readinessAddress);
+  compare(restart, "listen.control", &FleetSettings::m_controlAddress);
+  compare(restart, "listen.metrics", &FleetSettings::m_metricsAddress);
+  compare(restart, "listen.peers", &FleetSettings::m_peerAddress);
+  compare(restart, "listen.peers_bind", &FleetSettings::m_peerBindAddress);
+  compare(restart, "peers.shared_key", &FleetSettings::m_sharedKey);
+  compare(restart, "log.data_folder", &FleetSettings::m_dataFolder);
+  compare(restart, "log.tolerated_losses", &FleetSettings::m_toleratedLosses);
+  compare(restart, "timing.lease_ms", &FleetSettings::m_leaseTime);
+  compare(restart, "timing.shutdown_seconds", &FleetSettings::m_shutdownTime);
+  compare(
+    restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
+  return change;
+}
+
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -67,6 +67,20 @@
 [[nodiscard]] tl::expected<FleetSettings, std::vector<SettingsFault>>
 ReadFleetSettings(const std::string& aText);
 
+/** What differs between the settings in force and those of a changed file. */
+struct SettingsChange
+{
+  /** Dotted keys that are taken over while the instance runs. */
+  std::vector<std::string> m_applied;
+  /** Dotted keys that need a restart. */
+  std::vector<std::string> m_needRestart;
+};
+
+/** @return the differences; log.bootstrap matters at a start only and is left
+ * out. */
+[[nodiscard]] SettingsChange CompareSettings(const FleetSettings& aInForce,
+                                             const FleetSettings& aChanged);
+
 } // namespace auburntrestle::fleet
 
 #endif
--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -47,6 +47,11 @@
   m_transport = aTransport;
 }
 
+void LeaderLink::SetSeeds(std::vector<InstanceId> aSeeds)
+{
+  m_seeds = std::move(aSeeds);
+}
+
 void LeaderLink::SetCandidates(const std::vector<InstanceId>& aCandidates)
 {
   if (!aCandidates.empty()) {
--- a/src/auburntrestle/fleet/leader_link.hpp
+++ b/src/auburntrestle/fleet/leader_link.hpp
@@ -76,6 +76,8 @@
            Duration aHold,
            AnswerCallback aCallback);
 
+  /** Replaces the instances that stay candidates whoever else is known. */
+  void SetSeeds(std::vector<InstanceId> aSeeds);
   /** Replaces the instances that are asked when no leader is known. */
   void SetCandidates(const std::vector<InstanceId>& aCandidates);
 
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -634,6 +634,11 @@
     });
 }
 
+void StoreService::SetSeeds(std::vector<InstanceId> aSeeds)
+{
+  m_link->SetSeeds(std::move(aSeeds));
+}
+
 void StoreService::PrepareShutdown()
 {
   m_replica->TransferLeadership();
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -76,6 +76,8 @@
 
   /** Hands over what this instance leads; the process may exit soon after. */
   void PrepareShutdown();
+  /** Takes other seeds from changed settings. */
+  void SetSeeds(std::vector<InstanceId> aSeeds);
   [[nodiscard]] bool Leads() const noexcept { return m_replica->Leads(); }
 
 private:
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -88,5 +88,50 @@
   EXPECT_GE(settings.error().size(), 5U);
 }
 
+struct ChangeCase
+{
+  std::string m_from;
+  std::string m_to;
+  std::string m_applied;
+  std::string m_needsRestart;
+};
+
+class SettingsChangeTest : public testing::TestWithParam<ChangeCase>
+{};
+
+// Guards against a changed file that is taken over in part without a word.
+TEST_P(SettingsChangeTest, NamesWhatChangedAndWhatNeedsARestart)
+{
+  const auto& [from, to, applied, restart] = GetParam();
+  std::string text = kStore;
+  text.replace(text.find(from), from.size(), to);
+  const auto before = ReadFleetSettings(kStore);
+  const auto after = ReadFleetSettings(text);
+  ASSERT_TRUE(after);
+  const auto change = CompareSettings(*before, *after);
+  const auto expected = [](const std::string& aKey) {
+    return aKey.empty() ? std::vector<std::string>{}
+                        : std::vector<std::string>{ aKey };
+  };
+  EXPECT_EQ(change.m_applied, expected(applied));
+  EXPECT_EQ(change.m_needRestart, expected(restart));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Keys,
+  SettingsChangeTest,
+  testing::Values(
+    ChangeCase{ "10.0.0.2:80", "10.0.0.3:80", "peers.seeds", "" },
+    ChangeCase{ "debug", "info", "logging.level", "" },
+    ChangeCase{ "bootstrap = true", "bootstrap = false", "", "" },
+    ChangeCase{ "10.0.0.1:7000\"",
+                "10.0.0.9:7000\"\npeers_bind = \"10.0.0.1:7000\"",
+                "",
+                "listen.peers" },
+    ChangeCase{ "2500", "2600", "", "timing.lease_ms" },
+    ChangeCase{ "\"/data\"", "\"/other\"", "", "log.data_folder" },
+    ChangeCase{ "losses = 2", "losses = 1", "", "log.tolerated_losses" },
+    ChangeCase{ "store-1", "store-2", "", "instance.machine" }));
+
 } // namespace
 } // namespace auburntrestle::fleet
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -339,6 +339,22 @@
   SendUntil(200, { m_callers }, "POST", "/plain/x", "still here", "last");
 }
 
+// Guards against a signal that ends an instance, and against a change of the
+// settings that is lost without a word.
+TEST_F(WholePathTest, ReloadsItsSettingsOnASignal)
+{
+  SetUpService();
+  auto& entry = m_processes.at("entry");
+  std::ofstream(m_folder / "entry.toml", std::ios::app)
+    << "[logging]\nlevel = \"debug\"\n";
+  entry.Reload();
+  entry.WaitFor("event=settings_reloaded applied=logging.level need_restart=");
+  std::ofstream(m_folder / "entry.toml", std::ios::app) << "broken";
+  entry.Reload();
+  entry.WaitFor("event=settings_fault");
+  SendUntil(200, { m_callers }, "POST", "/plain/x", "still here", "request-1");
+}
+
 TEST_F(WholePathTest, ShutsDownInOrder)
 {
   SetUpService();
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -85,6 +85,9 @@
   /** Asks for a graceful end. */
   void Terminate() { ::kill(m_pid, SIGTERM); }
 
+  /** Says that its settings have changed. */
+  void Reload() { ::kill(m_pid, SIGHUP); }
+
   /** Stops the program until Resume. */
   void Pause() { ::kill(m_pid, SIGSTOP); }
   void Resume() { ::kill(m_pid, SIGCONT); }
