--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -17,31 +17,13 @@
 using observe::LogLine;
 
 /** Callers of the control interface turn to another instance after a second. */
-constexpr Duration kControlTimeout = std::chrono::milliseconds(900);
+constexpr Duration kAnnounceTimeout = std::chrono::milliseconds(900);
 constexpr Duration kTextPartTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 /** A leader that named itself this long ago may be gone. */
 constexpr Duration kNoticeTime = std::chrono::seconds(3);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
 
-ControlOutcome OutcomeOf(const tl::expected<CommandResult, LinkError>& aResult)
-{
-  if (!aResult) {
-    return ControlOutcome::Unavailable;
-  }
-  switch (*aResult) {
-    case CommandResult::Done:
-      return ControlOutcome::Done;
-    case CommandResult::NotFound:
-      return ControlOutcome::NotFound;
-    case CommandResult::TooFewRemain:
-      return ControlOutcome::TooFewRemain;
-    case CommandResult::Conflict:
-      return ControlOutcome::Invalid;
-  }
-  return ControlOutcome::Unavailable;
-}
-
 } // namespace
 
 StoreService::StoreService(event_loop::EventLoop& aLoop,
@@ -198,7 +180,7 @@
     m_link->Propose(AnnounceMember{ m_options.m_self,
                                     m_options.m_machine,
                                     m_options.m_dataCentre },
-                    kControlTimeout,
+                    kAnnounceTimeout,
                     [](const tl::expected<CommandResult, LinkError>&) {});
   }
   NotifyOthers();
@@ -530,110 +512,6 @@
   m_loop.After(kForgetInterval, [this] { ForgetOldJobs(); });
 }
 
-void StoreService::PutConfiguration(const std::string& aDocument,
-                                    OutcomeCallback aCallback)
-{
-  const auto table = m_options.m_readConfiguration(aDocument);
-  if (!table) {
-    LogLine(LogLevel::Warning, "configuration_refused")
-      .Add("fault", ToString(table.error().m_fault))
-      .Add("detail", table.error().m_detail);
-    aCallback(ControlOutcome::Invalid);
-    return;
-  }
-  const auto version = table->Configuration().m_version;
-  m_link->Propose(fleet::PutConfiguration{ version, aDocument },
-                  kControlTimeout,
-                  [version, callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    LogLine(LogLevel::Info, "configuration_put")
-                      .Add("version", version)
-                      .Add("acknowledged", aResult.has_value());
-                    callback(OutcomeOf(aResult));
-                  });
-}
-
-void StoreService::GetConfiguration(
-  std::function<void(std::optional<ConfigurationView>)> aCallback)
-{
-  m_link->Ask(ReadConfiguration{},
-              kControlTimeout,
-              Duration::zero(),
-              [callback = std::move(aCallback)](
-                const tl::expected<Answer, LinkError>& aAnswer) {
-                const auto* view =
-                  aAnswer ? std::get_if<ConfigurationView>(&*aAnswer) : nullptr;
-                callback(view != nullptr ? std::optional(*view) : std::nullopt);
-              });
-}
-
-void StoreService::Announce(const BackendRecord& aRecord,
-                            OutcomeCallback aCallback)
-{
-  // A member that hears the same as before needs no entry of the log.
-  if (!m_replica->GetState().IsNews(aRecord) && m_replica->Leader()) {
-    aCallback(ControlOutcome::Done);
-    return;
-  }
-  m_link->Propose(AnnounceBackend{ aRecord },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
-}
-
-void StoreService::Remove(const BackendId& aId, OutcomeCallback aCallback)
-{
-  m_link->Propose(RemoveBackend{ aId, Incarnation() },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
-}
-
-void StoreService::PublishWeights(const ModelName& aModel,
-                                  WeightVersion aVersion,
-                                  OutcomeCallback aCallback)
-{
-  m_link->Propose(fleet::PublishWeights{ aModel, aVersion },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
-}
-
-void StoreService::Retire(const std::string& aMachine,
-                          OutcomeCallback aCallback)
-{
-  const auto minRemaining =
-    static_cast<std::uint32_t>(2 * m_store.m_toleratedLosses + 1);
-  m_link->Propose(RetireMember{ aMachine, minRemaining },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
-}
-
-void StoreService::GetRetirement(
-  const std::string& aMachine,
-  std::function<void(std::optional<Retirement>)> aCallback)
-{
-  m_link->Ask(
-    ReadRetirement{ aMachine },
-    kControlTimeout,
-    Duration::zero(),
-    [callback =
-       std::move(aCallback)](const tl::expected<Answer, LinkError>& aAnswer) {
-      const auto* view =
-        aAnswer ? std::get_if<RetirementView>(&*aAnswer) : nullptr;
-      callback(view != nullptr ? std::optional(view->m_state) : std::nullopt);
-    });
-}
-
 void StoreService::SetSeeds(std::vector<InstanceId> aSeeds)
 {
   m_link->SetSeeds(std::move(aSeeds));
