--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -9,10 +9,14 @@
 using platform::Json;
 using platform::test::Sampler;
 
-void Checker::Violate(const std::string& aWhat)
+void Checker::Violate(std::initializer_list<std::string_view> aParts)
 {
-  std::cout << "VIOLATION " << aWhat << std::endl;
-  m_violations.push_back(aWhat);
+  std::string what;
+  for (const auto part : aParts) {
+    what += part;
+  }
+  std::cout << "VIOLATION " << what << std::endl;
+  m_violations.push_back(std::move(what));
 }
 
 void Checker::Answered(const std::string& aRequest,
@@ -25,7 +29,7 @@
   constexpr int kUnavailable = 503;
   if (aStatus == kOk && (aBody != Sampler::PlainAnswer(aRequest) ||
                          aSignature != Sampler::Signature(aRequest))) {
-    Violate("request " + aRequest + " got the answer of another: " + aBody);
+    Violate({ "request ", aRequest, " got the answer of another: ", aBody });
   }
   if (aStatus == kTooMany || aStatus == kUnavailable) {
     m_refused.insert(aRequest);
@@ -38,13 +42,14 @@
                           const Json& aView)
 {
   if (aView["total"] != aJob.m_items.size()) {
-    Violate("job " + aId + " has a wrong total");
+    Violate({ "job ", aId, " has a wrong total" });
   }
   std::size_t position = aAfter;
   for (const auto& result : aView["results"]) {
     if (position < aJob.m_results.size()) {
       if (aJob.m_results[position] != result) {
-        Violate("job " + aId + " changed position " + std::to_string(position));
+        Violate(
+          { "job ", aId, " changed position ", std::to_string(position) });
       }
     } else {
       CheckResult(aId, aJob, result);
@@ -53,7 +58,7 @@
     ++position;
   }
   if (aView["next"] != position) {
-    Violate("job " + aId + " names a wrong next position");
+    Violate({ "job ", aId, " names a wrong next position" });
   }
 }
 
@@ -63,11 +68,11 @@
 {
   const std::string item = aResult["id"];
   if (!aJob.m_items.contains(item)) {
-    Violate("job " + aId + " lists item " + item + " of another job");
+    Violate({ "job ", aId, " lists item ", item, " of another job" });
   }
   for (const auto& other : aJob.m_results) {
     if (other["id"] == item) {
-      Violate("job " + aId + " lists item " + item + " twice");
+      Violate({ "job ", aId, " lists item ", item, " twice" });
     }
   }
   if (aResult["state"] != "completed") {
@@ -76,21 +81,21 @@
   const std::string output = aResult["output"];
   std::set<std::uint64_t> versions;
   if (!Sampler::IsWholeText(item, output, versions)) {
-    Violate("item " + item + " has a wrong text: " + output);
+    Violate({ "item ", item, " has a wrong text: ", output });
   }
   const std::set<std::uint64_t> named(aResult["versions"].begin(),
                                       aResult["versions"].end());
   if (named != versions) {
-    Violate("item " + item + " names other versions than made it");
+    Violate({ "item ", item, " names other versions than made it" });
   }
   if (!named.empty() && *named.begin() < aJob.m_minVersion) {
-    Violate("item " + item + " is older than its job allows");
+    Violate({ "item ", item, " is older than its job allows" });
   }
 }
 
 void Checker::JobMissing(const std::string& aId)
 {
-  Violate("job " + aId + " was accepted and is not found");
+  Violate({ "job ", aId, " was accepted and is not found" });
 }
 
 void Checker::ConfigurationAcknowledged(std::uint64_t aVersion)
@@ -101,8 +106,11 @@
 void Checker::ConfigurationRead(std::uint64_t aVersion, std::uint64_t aFloor)
 {
   if (aVersion < aFloor) {
-    Violate("configuration " + std::to_string(aVersion) + " was read after " +
-            std::to_string(aFloor) + " was acknowledged");
+    Violate({ "configuration ",
+              std::to_string(aVersion),
+              " was read after ",
+              std::to_string(aFloor),
+              " was acknowledged" });
   }
 }
 
@@ -112,7 +120,8 @@
 {
   const auto [holder, isNew] = m_holders.emplace(aFencing, aHolder);
   if (!isNew && holder->second != aHolder) {
-    Violate("fencing number " + std::to_string(aFencing) + " has two holders");
+    Violate(
+      { "fencing number ", std::to_string(aFencing), " has two holders" });
   }
   auto& highest = m_fencing[aEngine];
   highest = std::max(highest, aFencing);
@@ -122,13 +131,13 @@
 {
   for (const auto& request : m_refused) {
     if (m_runs.contains(request)) {
-      Violate("request " + request + " was refused as not run, and ran");
+      Violate({ "request ", request, " was refused as not run, and ran" });
     }
   }
   for (const auto& request : m_once) {
     const auto runs = m_runs.find(request);
     if (runs != m_runs.end() && runs->second > 1) {
-      Violate("request " + request + " ran more than once");
+      Violate({ "request ", request, " ran more than once" });
     }
   }
 }
--- a/soak/checker.hpp
+++ b/soak/checker.hpp
@@ -4,9 +4,11 @@
 #include "platform/json_fields.hpp"
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburntrestle::soak {
@@ -58,8 +60,8 @@
 
   /** Checks what only holds once everything has come to rest. */
   void Finish();
-  /** Records that a promise was broken. */
-  void Violate(const std::string& aWhat);
+  /** Records that a promise was broken, as a text in parts. */
+  void Violate(std::initializer_list<std::string_view> aParts);
   [[nodiscard]] const std::vector<std::string>& Violations() const
   {
     return m_violations;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -73,7 +73,7 @@
       return;
     }
     if (late) {
-      m_checker.Violate("accepted jobs are not done after the last fault");
+      m_checker.Violate({ "accepted jobs are not done after the last fault" });
     }
     m_loop.Stop();
   }
--- a/soak/workload.cpp
+++ b/soak/workload.cpp
@@ -282,7 +282,7 @@
            const auto view = Json::parse(aResponse->m_body);
            m_checker.ReadResults(job->m_id, job->m_accepted, 0, view);
            if (view["results"].size() < job->m_accepted.m_items.size()) {
-             m_checker.Violate("job " + job->m_id + " lost results");
+             m_checker.Violate({ "job ", job->m_id, " lost results" });
            }
          } else if (HasStatus(aResponse, kNotFound)) {
            m_checker.JobMissing(job->m_id);
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -228,7 +228,7 @@
 
 std::optional<InstanceId> StoreService::KnownLeader() const
 {
-  if (const auto leader = m_replica->Leader()) {
+  if (auto leader = m_replica->Leader()) {
     return leader;
   }
   const bool fresh = MonotonicClock::Now() - m_noticedAt < kNoticeTime;
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -53,8 +53,9 @@
 /** How a call is made. */
 struct CallOptions
 {
-  /** For making the connection. */
-  Duration m_connectTimeout = std::chrono::milliseconds(500);
+  /** For making the connection. A lost opening packet is sent again only after
+   * a second, so a little more patience gains nothing. */
+  Duration m_connectTimeout = std::chrono::milliseconds(250);
   /** For the whole call. */
   Duration m_timeout = std::chrono::seconds(10);
 };
