Keep a transport test from depending on how fast a peer comes back

By its stack it waited for the first message: a failed attempt to connect discards what waits, and with a back-off of 25 to 50 ms the next attempt came before the peer was up again. Change: the messages are sent after the first attempt has failed, and the next one comes 3 s later at the earliest. The assertions are unchanged; two comments that had run together are separate again.

--- a/test/auburntrestle/protocol/peer_transport_test.cpp
+++ b/test/auburntrestle/protocol/peer_transport_test.cpp
@@ -307,7 +307,6 @@
   EXPECT_EQ(left->Counters().m_connections, 2U);
 }
 
-// Guards against a lost connection being told as a call that did not run, and
 // Guards against the memory of messages that pile up for a lost peer.
 TEST(PeerTransport, KeepsOnlyTheNewestMessagesForAPeerThatIsDown)
 {
@@ -316,8 +315,16 @@
   right.reset();
   auto options = OptionsFor(kLeft);
   options.m_maxWaitingMessages = 3;
+  // A failed attempt discards what waits, so the peer has to be back before the
+  // next one, which comes after half of this time at the earliest.
+  options.m_firstBackOff = seconds(6);
+  options.m_maxBackOff = seconds(6);
   const auto left = MustStart(options);
   ASSERT_TRUE(left->SetPeer(kRight, AddressOf(port)));
+  ASSERT_TRUE(left->Send(kRight, kNews, "lost with the first attempt"));
+  while (left->Counters().m_connectFailures == 0) {
+    std::this_thread::yield();
+  }
   for (int number = 0; number < 10; ++number) {
     ASSERT_TRUE(left->Send(kRight, kNews, std::to_string(number)));
   }
@@ -334,6 +341,7 @@
   EXPECT_EQ(received.Take(), "9");
 }
 
+// Guards against a lost connection being told as a call that did not run, and
 // against calls that are never told anything.
 TEST(PeerTransport, CallsOfALostConnectionMayHaveRun)
 {
