--- a/src/auburntrestle/fleet/backend_chooser.cpp
+++ b/src/auburntrestle/fleet/backend_chooser.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/backend_chooser.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace auburntrestle::fleet {
@@ -19,8 +20,9 @@
 
 } // namespace
 
-BackendChooser::BackendChooser(DataCentreId aHome)
+BackendChooser::BackendChooser(DataCentreId aHome, ChooserLimits aLimits)
   : m_home(std::move(aHome))
+  , m_limits(aLimits)
 {
 }
 
@@ -52,7 +54,7 @@
   bool bestAvoided = false;
   for (const auto& [id, backend] : m_backends) {
     if (backend.m_record.m_service != aService || backend.m_misdirected ||
-        aExclude.contains(id)) {
+        aExclude.contains(id) || IsFull(backend)) {
       continue;
     }
     const double latency =
@@ -61,6 +63,9 @@
     cost += backend.m_record.m_dataCentre == m_home ? 0 : kRemoteCost;
     // Avoided backend servers are still better than no response.
     const bool avoided = backend.m_avoidUntil > aNow;
+    if (avoided && !m_limits.m_usesAvoided) {
+      continue;
+    }
     if (best == nullptr || avoided < bestAvoided ||
         (avoided == bestAvoided && cost < bestCost)) {
       best = &backend;
@@ -79,6 +84,15 @@
   }
 }
 
+bool BackendChooser::IsFull(const Backend& aBackend) const
+{
+  if (!m_limits.m_maxSlotShare) {
+    return false;
+  }
+  const double slots = *m_limits.m_maxSlotShare * aBackend.m_record.m_slots;
+  return aBackend.m_inFlight >= std::max(std::floor(slots), 1.0);
+}
+
 void BackendChooser::DecrementInFlight(Backend& aBackend)
 {
   aBackend.m_inFlight -= aBackend.m_inFlight > 0 ? 1 : 0;
--- a/src/auburntrestle/fleet/backend_chooser.hpp
+++ b/src/auburntrestle/fleet/backend_chooser.hpp
@@ -12,6 +12,18 @@
 
 namespace auburntrestle::fleet {
 
+/** Which backend servers a BackendChooser may choose. */
+struct ChooserLimits
+{
+  /** A backend server with this share of its slots in use, or more, is not
+   * chosen. Only requests of this instance count, and one request is always
+   * permitted. Absent for no limit. */
+  std::optional<double> m_maxSlotShare = std::nullopt;
+  /** Whether an avoided backend server is chosen if there is no other. A
+   * request that can wait for a later attempt does better without. */
+  bool m_usesAvoided = true;
+};
+
 /**
  * Chooses the backend server for a short request. Designed for a light load of
  * short requests, with backend servers that slow down or fail without notice.
@@ -22,7 +34,7 @@
 {
 public:
   /** @param aHome the data centre of this instance. */
-  explicit BackendChooser(DataCentreId aHome);
+  explicit BackendChooser(DataCentreId aHome, ChooserLimits aLimits = {});
 
   /** Replaces the backend servers. */
   void SetBackends(const std::vector<BackendRecord>& aBackends);
@@ -67,10 +79,12 @@
     bool m_misdirected = false;
   };
 
+  [[nodiscard]] bool IsFull(const Backend& aBackend) const;
   void DecrementInFlight(Backend& aBackend);
   void Avoid(const BackendId& aId, Duration aTime, TimePoint aNow);
 
   DataCentreId m_home;
+  ChooserLimits m_limits;
   std::map<BackendId, Backend> m_backends;
 };
 
--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -71,6 +71,9 @@
 {
   JobId m_job;
   std::vector<ItemResult> m_results;
+  /** The items among m_results whose output is empty here because it is the
+   * complete output that RecordProgress recorded before. */
+  std::vector<ItemId> m_recordedOutputs = {};
 };
 
 /** Appends results; items that already have a result are skipped. */
@@ -91,10 +94,12 @@
   std::string m_output;
   /** The weight versions of the output from its start, ascending. */
   std::vector<WeightVersion> m_versions;
+  /** m_lastEvent is the last event of the output. */
+  bool m_complete = false;
 };
 
-/** Records partial outputs of long items, so that the next leader can resume
- * them. */
+/** Records partial outputs of long items and complete outputs that wait for
+ * their score, so that the next leader can resume them. */
 struct RecordProgress
 {
   JobId m_job;
--- a/src/auburntrestle/fleet/engine_protocol.hpp
+++ b/src/auburntrestle/fleet/engine_protocol.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace auburntrestle::fleet {
 
@@ -66,8 +67,37 @@
   std::optional<WeightVersion> m_version;
 };
 
-/** Encodes requests to engines and parses their responses. Other kinds of
- * engines are supported by supplying other functions. */
+/** The reward model answered with a score. */
+struct RewardScored
+{
+  Score m_score;
+};
+
+/** The reward call was not run. */
+struct RewardNotRun
+{
+  /** Another process answers at the address. */
+  bool m_misdirected = false;
+};
+
+/** The reward call ran and failed; counts as a failed attempt of the item. */
+struct RewardFailed
+{
+  int m_status = 0;
+};
+
+/** The response states neither a score nor a failed attempt. */
+struct RewardUnusable
+{
+  int m_status = 0;
+};
+
+/** A complete response to a reward call. */
+using RewardResponse =
+  std::variant<RewardScored, RewardNotRun, RewardFailed, RewardUnusable>;
+
+/** Encodes requests to engines and reward models and parses their responses.
+ * Other kinds of engines are supported by supplying other functions. */
 struct EngineProtocol
 {
   std::function<http::Request(const JobSpec&,
@@ -85,6 +115,11 @@
     m_readReport;
   std::function<http::Request(const LoadOrder&)> m_orderRequest;
   std::function<OrderOutcome(const http::Response&)> m_readOrderOutcome;
+  std::function<
+    http::Request(const RewardCall&, const BackendId&, Duration aTimeLeft)>
+    m_rewardRequest;
+  std::function<RewardResponse(const RewardCall&, const http::Response&)>
+    m_readRewardResponse;
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/fwd.hpp
+++ b/src/auburntrestle/fleet/fwd.hpp
@@ -14,6 +14,8 @@
 class JobRunner;
 class LeaderLink;
 class RequestRelay;
+class RewardCaller;
+class RewardQueue;
 class Replica;
 class RouteTable;
 class State;
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -38,6 +38,11 @@
            aRecord.m_sequence);
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::RewardCall> auto& aCall)
+{
+  aArchive(aCall.m_id, aCall.m_host, aCall.m_path, aCall.m_body);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::JobItem> auto& aItem)
 {
   aArchive(aItem.m_id,
@@ -45,7 +50,8 @@
            aItem.m_headers,
            aItem.m_body,
            aItem.m_group,
-           aItem.m_expectedTokens);
+           aItem.m_expectedTokens,
+           Appended{ aItem.m_reward });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::JobSpec> auto& aSpec)
@@ -61,7 +67,11 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::ItemResult> auto& aResult)
 {
-  aArchive(aResult.m_id, aResult.m_state, aResult.m_output, aResult.m_versions);
+  aArchive(aResult.m_id,
+           aResult.m_state,
+           aResult.m_output,
+           aResult.m_versions,
+           Appended{ aResult.m_score });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::PutConfiguration> auto& aCommand)
@@ -101,7 +111,8 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::JobResults> auto& aResults)
 {
-  aArchive(aResults.m_job, aResults.m_results);
+  aArchive(
+    aResults.m_job, aResults.m_results, Appended{ aResults.m_recordedOutputs });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::RecordResults> auto& aCommand)
@@ -115,7 +126,8 @@
            aItem.m_after,
            aItem.m_lastEvent,
            aItem.m_output,
-           aItem.m_versions);
+           aItem.m_versions,
+           Appended{ aItem.m_complete });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::RecordProgress> auto& aCommand)
@@ -135,7 +147,11 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::StoredResult> auto& aResult)
 {
-  aArchive(aResult.m_id, aResult.m_state, aResult.m_output, aResult.m_versions);
+  aArchive(aResult.m_id,
+           aResult.m_state,
+           aResult.m_output,
+           aResult.m_versions,
+           Appended{ aResult.m_score });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::OutputChunk> auto& aChunk)
@@ -145,7 +161,10 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::PartialOutput> auto& aOutput)
 {
-  aArchive(aOutput.m_lastEvent, aOutput.m_output, aOutput.m_versions);
+  aArchive(aOutput.m_lastEvent,
+           aOutput.m_output,
+           aOutput.m_versions,
+           Appended{ aOutput.m_complete });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::EndJob> auto& aCommand)
--- a/src/auburntrestle/fleet/internal/job_items.hpp
+++ b/src/auburntrestle/fleet/internal/job_items.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -23,8 +24,13 @@
   std::optional<BackendId> m_avoid;
   /** Has a result, which may not be recorded yet. */
   bool m_done = false;
-  /** The output of a completed item. */
+  /** The output if it is complete; m_transcript is empty then. */
   std::optional<PartialOutput> m_completeOutput;
+  /** m_completeOutput is recorded in the log. */
+  bool m_completeOutputRecorded = false;
+  std::optional<Score> m_score;
+  /** The reward call in progress. */
+  std::optional<RewardTicket> m_reward;
   /** Last event and size of the output that was proposed to the log. */
   std::optional<std::uint64_t> m_recordedEvent;
   std::size_t m_recordedBytes = 0;
@@ -40,6 +46,8 @@
     : m_transcript(std::move(aVersionField))
   {
   }
+
+  [[nodiscard]] const JobItem& Spec() const;
 };
 
 /** A job that has not ended. */
@@ -48,11 +56,18 @@
   std::shared_ptr<const JobSpec> m_spec;
   WallTime m_acceptedAt{};
   std::vector<ItemPtr> m_items;
+  /** The unfinished items of each group. */
+  std::unordered_map<GroupId, std::shared_ptr<RewardGroup>> m_groups;
   /** Items that wait for an engine. */
   std::deque<ItemPtr> m_waiting;
   bool m_ended = false;
 };
 
+inline const JobItem& JobRunner::Item::Spec() const
+{
+  return m_job->m_spec->m_items[m_index];
+}
+
 } // namespace auburntrestle::fleet
 
 #endif
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -25,6 +25,11 @@
 /** Identifies the items that share one prompt. */
 using GroupId = StrongType<struct GroupIdTag, std::string>;
 
+/** Identifies the reward call of an item. */
+using RewardId = StrongType<struct RewardIdTag, std::string>;
+/** The score of an item, as the reward model states it. */
+using Score = StrongType<struct ScoreTag, std::string>;
+
 /** Milliseconds since the Unix epoch. */
 using WallTime = std::chrono::duration<std::int64_t, std::milli>;
 
@@ -35,6 +40,19 @@
     std::chrono::system_clock::now().time_since_epoch());
 }
 
+/** A request to a reward model, sent when the output of its item is complete.
+ * It may run more than once. */
+struct RewardCall
+{
+  RewardId m_id;
+  /** Host name; selects the route together with the path. */
+  std::string m_host;
+  std::string m_path;
+  std::string m_body;
+
+  friend bool operator==(const RewardCall&, const RewardCall&) = default;
+};
+
 /** One request of a batch job. */
 struct JobItem
 {
@@ -45,6 +63,8 @@
   GroupId m_group;
   /** Number of output tokens that the trainer expects, or 0 if unknown. */
   std::uint64_t m_expectedTokens = 0;
+  /** Present if the item is complete only with a score. */
+  std::optional<RewardCall> m_reward = std::nullopt;
 };
 
 /** A batch job as submitted. */
@@ -78,6 +98,8 @@
   std::string m_output;
   /** The weight versions that generated the events, ascending. */
   std::vector<WeightVersion> m_versions;
+  /** Present if the item has a reward call and is completed. */
+  std::optional<Score> m_score = std::nullopt;
 };
 
 /** The result of one item, with its output in the OutputStore. */
@@ -87,9 +109,10 @@
   ItemState m_state = ItemState::Completed;
   OutputReference m_output;
   std::vector<WeightVersion> m_versions;
+  std::optional<Score> m_score = std::nullopt;
 };
 
-/** The output that an item has generated so far. */
+/** The output that an item without a result has generated so far. */
 struct PartialOutput
 {
   /** Id of the last event in the output. */
@@ -98,6 +121,8 @@
   std::string m_output;
   /** The weight versions that generated the output, ascending. */
   std::vector<WeightVersion> m_versions;
+  /** The output has its last event; only the score is missing. */
+  bool m_complete = false;
 };
 
 /** An accepted batch job. */
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -16,8 +16,6 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusMisdirected = 421;
 constexpr int kStatusUnprocessable = 422;
-/** Results within this time are batched into one log entry. */
-constexpr Duration kResultBatchDelay = std::chrono::milliseconds(15);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 /** A run without an event for this long is aborted and resumed on another
  * engine. */
@@ -33,6 +31,7 @@
                      http::Client& aClient,
                      const EngineProtocol& aProtocol,
                      EnginePool& aEngines,
+                     RewardCaller& aRewards,
                      ProposeFunction aPropose,
                      observe::Instruments& aInstruments,
                      std::uint64_t aSeed)
@@ -40,6 +39,7 @@
   , m_client(aClient)
   , m_protocol(aProtocol)
   , m_engines(aEngines)
+  , m_rewards(aRewards)
   , m_propose(std::move(aPropose))
   , m_random(aSeed)
   , m_instruments(aInstruments)
@@ -57,6 +57,7 @@
   m_active = true;
   ++m_epoch;
   m_routes = std::move(aRoutes);
+  m_rewards.SetRoutes(m_routes);
   for (const auto& id : aState.JobOrder()) {
     AddUnfinishedItems(*aState.FindJob(id));
   }
@@ -68,6 +69,7 @@
 {
   m_active = false;
   ++m_epoch;
+  m_rewards.Stop();
   for (const auto& job : m_order) {
     job->m_ended = true;
     for (const auto& item : job->m_items) {
@@ -80,12 +82,15 @@
   m_jobs.clear();
   m_results.clear();
   m_resultsScheduled = false;
+  m_completeOutputs.clear();
+  m_completeOutputsScheduled = false;
   m_cache.Clear();
 }
 
 void JobRunner::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
   m_routes = std::move(aRoutes);
+  m_rewards.SetRoutes(m_routes);
   Dispatch();
 }
 
@@ -114,9 +119,12 @@
     if (aJob.m_hasResult[index]) {
       continue;
     }
-    const auto item = MakeItem(job, index, aJob);
-    job->m_items.push_back(item);
-    if (!ResumeFromCache(item)) {
+    job->m_items.push_back(MakeItem(job, index, aJob));
+  }
+  for (const auto& item : job->m_items) {
+    if (auto output = FindCompleteOutput(*item)) {
+      OnOutputComplete(item, std::move(*output));
+    } else {
       job->m_waiting.push_back(item);
     }
   }
@@ -147,6 +155,7 @@
   CacheIncompleteGroups(*job);
   for (const auto& item : job->m_items) {
     EndRun(*item);
+    CancelReward(*item);
     item->m_job.reset();
   }
   Dispatch();
@@ -329,7 +338,8 @@
       return;
     }
     m_engines.RecordSuccess(engine);
-    Finish(aItem, ItemState::Completed);
+    OnOutputComplete(
+      aItem, aItem->m_transcript.ToPartialOutput().value_or(PartialOutput{}));
     Dispatch();
     return;
   }
@@ -415,18 +425,25 @@
 void JobRunner::Finish(const ItemPtr& aItem, ItemState aState)
 {
   const JobSpec& spec = *aItem->m_job->m_spec;
+  const bool lost = aState == ItemState::Lost;
+  CancelReward(*aItem);
   ItemResult result;
-  result.m_id = spec.m_items[aItem->m_index].m_id;
+  result.m_id = aItem->Spec().m_id;
   result.m_state = aState;
-  if (aState == ItemState::Completed) {
-    result.m_output = aItem->m_transcript.Output();
-    result.m_versions = aItem->m_transcript.Versions();
-    aItem->m_completeOutput = aItem->m_transcript.ToPartialOutput();
+  const bool isRecorded = !lost && aItem->m_completeOutputRecorded;
+  if (!lost) {
+    result.m_versions = aItem->m_completeOutput->m_versions;
+    result.m_score = aItem->m_score;
+    if (!isRecorded) {
+      result.m_output = aItem->m_completeOutput->m_output;
+    }
   }
-  const auto events = aItem->m_transcript.LastEvent().value_or(0);
+  const auto events = aItem->m_completeOutput
+                        ? aItem->m_completeOutput->m_lastEvent
+                        : aItem->m_transcript.LastEvent().value_or(0);
   aItem->m_transcript.Clear();
   aItem->m_done = true;
-  const bool lost = aState == ItemState::Lost;
+  --aItem->m_job->m_groups.at(aItem->Spec().m_group)->m_unfinishedItems;
   m_instruments.Count(observe::counters::kItems, lost ? "lost" : "completed");
   m_instruments.ObserveDuration(
     observe::histograms::kItemTime,
@@ -435,19 +452,26 @@
   LogLine(LogLevel::Info, "item_finished")
     .Add("job", spec.m_id)
     .Add("item", result.m_id)
-    .Add("lost", aState == ItemState::Lost)
-    .Add("expected_tokens", spec.m_items[aItem->m_index].m_expectedTokens)
+    .Add("lost", lost)
+    .Add("expected_tokens", aItem->Spec().m_expectedTokens)
     .Add("events", events);
-  QueueResult(spec.m_id, std::move(result));
+  QueueResult(spec.m_id, std::move(result), isRecorded);
 }
 
-void JobRunner::QueueResult(const JobId& aJob, ItemResult aResult)
+void JobRunner::QueueResult(const JobId& aJob,
+                            ItemResult aResult,
+                            bool aIsRecorded)
 {
-  m_results[aJob].push_back(std::move(aResult));
+  JobResults& results = m_results[aJob];
+  results.m_job = aJob;
+  if (aIsRecorded) {
+    results.m_recordedOutputs.push_back(aResult.m_id);
+  }
+  results.m_results.push_back(std::move(aResult));
   if (std::exchange(m_resultsScheduled, true)) {
     return;
   }
-  m_loop.After(kResultBatchDelay, [this, epoch = m_epoch] {
+  m_loop.After(kRecordBatchDelay, [this, epoch = m_epoch] {
     if (epoch == m_epoch) {
       m_resultsScheduled = false;
       ProposeResults();
@@ -459,7 +483,7 @@
 {
   RecordResults command;
   for (auto& [job, results] : m_results) {
-    command.m_jobs.push_back(JobResults{ job, std::move(results) });
+    command.m_jobs.push_back(std::move(results));
   }
   m_results.clear();
   if (command.m_jobs.empty()) {
@@ -471,10 +495,15 @@
     }
     // Still the leader, so the log was only temporarily full.
     for (const auto& part : command.m_jobs) {
-      if (m_jobs.contains(part.m_job)) {
-        for (const auto& result : part.m_results) {
-          QueueResult(part.m_job, result);
-        }
+      if (!m_jobs.contains(part.m_job)) {
+        continue;
+      }
+      const auto& recorded = part.m_recordedOutputs;
+      for (const auto& result : part.m_results) {
+        const bool isRecorded =
+          std::find(recorded.begin(), recorded.end(), result.m_id) !=
+          recorded.end();
+        QueueResult(part.m_job, result, isRecorded);
       }
     }
   });
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -7,6 +7,7 @@
 #include "auburntrestle/fleet/engine_protocol.hpp"
 #include "auburntrestle/fleet/item_transcript.hpp"
 #include "auburntrestle/fleet/output_cache.hpp"
+#include "auburntrestle/fleet/reward_caller.hpp"
 #include "auburntrestle/fleet/state.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
@@ -22,9 +23,10 @@
 
 /**
  * Runs the items of accepted jobs on the engines while this instance leads the
- * log. A result becomes visible once the log entry that records it is applied.
- * After a change of leader, the new leader generates again what the old one
- * had not recorded.
+ * log. An item with a reward call is completed by its score; meanwhile its
+ * output is recorded in the log. A result becomes visible once the log entry
+ * that records it is applied. After a change of leader, the new leader
+ * generates again what the old one had not recorded.
  */
 class JobRunner
 {
@@ -38,6 +40,7 @@
             http::Client& aClient,
             const EngineProtocol& aProtocol,
             EnginePool& aEngines,
+            RewardCaller& aRewards,
             ProposeFunction aPropose,
             observe::Instruments& aInstruments,
             std::uint64_t aSeed);
@@ -45,6 +48,10 @@
   JobRunner(const JobRunner&) = delete;
   JobRunner& operator=(const JobRunner&) = delete;
 
+  /** Results and complete outputs within this time are batched into one log
+   * entry. */
+  static constexpr Duration kRecordBatchDelay = std::chrono::milliseconds(15);
+
   /** Starts a leadership epoch: runs the unfinished items of all jobs. */
   void Start(const State& aState, std::shared_ptr<const RouteTable> aRoutes);
   /** Ends the leadership epoch: cancels all runs and discards all state. */
@@ -67,11 +74,21 @@
   [[nodiscard]] ItemPtr MakeItem(const std::shared_ptr<RunningJob>& aJob,
                                  std::size_t aIndex,
                                  const Job& aRecord);
-  /** Resumes an item from the output of an earlier job, if one is cached.
-   * @return whether the cached output was complete. */
-  bool ResumeFromCache(const ItemPtr& aItem);
+  /** @return the complete output of an item, recorded in the log or cached from
+   * an earlier job. An incomplete output from the cache is resumed. */
+  [[nodiscard]] std::optional<PartialOutput> FindCompleteOutput(Item& aItem);
+  /** Moves the output of an item out of the cache, if there is one. */
+  [[nodiscard]] std::optional<CachedOutput> ExtractFromCache(const Item& aItem);
   void CacheIncompleteGroups(const RunningJob& aJob);
   void ProposeProgress(RunningJob& aJob);
+  /** Handles the end of an output: the item is finished, or its reward call
+   * starts. */
+  void OnOutputComplete(const ItemPtr& aItem, PartialOutput aOutput);
+  void StartReward(const ItemPtr& aItem);
+  void CancelReward(Item& aItem);
+  void OnReward(const ItemPtr& aItem, const RewardResult& aResult);
+  void QueueCompleteOutput(const ItemPtr& aItem);
+  void ProposeCompleteOutputs();
   [[nodiscard]] ItemRequirements RequirementsOf(const Item& aItem) const;
   /** @return false if no engine of the item's service has a free slot. */
   bool TryStart(const ItemPtr& aItem);
@@ -86,7 +103,8 @@
   void AbortRun(const ItemPtr& aItem, std::string_view aReason);
   void Requeue(const ItemPtr& aItem);
   void Finish(const ItemPtr& aItem, ItemState aState);
-  void QueueResult(const JobId& aJob, ItemResult aResult);
+  /** @param aIsRecorded whether the output is recorded already. */
+  void QueueResult(const JobId& aJob, ItemResult aResult, bool aIsRecorded);
   void ProposeResults();
   void RunPeriodicChecks();
   void CheckRun(const ItemPtr& aItem, TimePoint aNow);
@@ -96,6 +114,7 @@
   http::Client& m_client;
   const EngineProtocol& m_protocol;
   EnginePool& m_engines;
+  RewardCaller& m_rewards;
   ProposeFunction m_propose;
   RandomSource m_random;
   std::shared_ptr<const RouteTable> m_routes;
@@ -105,8 +124,11 @@
   std::map<JobId, std::shared_ptr<RunningJob>> m_jobs;
   /** Jobs in the order of acceptance. */
   std::deque<std::shared_ptr<RunningJob>> m_order;
-  std::map<JobId, std::vector<ItemResult>> m_results;
+  std::map<JobId, JobResults> m_results;
   bool m_resultsScheduled = false;
+  /** Items whose complete output is to be recorded. */
+  std::vector<ItemPtr> m_completeOutputs;
+  bool m_completeOutputsScheduled = false;
   bool m_dispatching = false;
   OutputCache m_cache;
   observe::Instruments& m_instruments;
--- a/src/auburntrestle/fleet/job_runner_outputs.cpp
+++ b/src/auburntrestle/fleet/job_runner_outputs.cpp
@@ -27,37 +27,59 @@
   auto item = std::make_shared<Item>(m_protocol.m_versionField);
   item->m_job = aJob;
   item->m_index = aIndex;
+  auto& group = aJob->m_groups[item->Spec().m_group];
+  if (!group) {
+    group = std::make_shared<RewardGroup>();
+    group->m_jobAcceptedAt = aJob->m_acceptedAt;
+  }
+  ++group->m_unfinishedItems;
   const auto recorded = aRecord.m_progress.find(aIndex);
-  if (recorded != aRecord.m_progress.end()) {
-    item->m_transcript.Restore(recorded->second);
-    item->m_recordedEvent = recorded->second.m_lastEvent;
-    item->m_recordedBytes = recorded->second.m_output.size();
+  if (recorded == aRecord.m_progress.end()) {
+    return item;
+  }
+  if (recorded->second.m_complete) {
+    item->m_completeOutput = recorded->second;
+    item->m_completeOutputRecorded = true;
+    return item;
   }
+  item->m_transcript.Restore(recorded->second);
+  item->m_recordedEvent = recorded->second.m_lastEvent;
+  item->m_recordedBytes = recorded->second.m_output.size();
   return item;
 }
 
-bool JobRunner::ResumeFromCache(const ItemPtr& aItem)
+std::optional<PartialOutput> JobRunner::FindCompleteOutput(Item& aItem)
 {
-  const JobSpec& spec = *aItem->m_job->m_spec;
-  const JobItem& item = spec.m_items[aItem->m_index];
-  const Route* route =
-    m_routes ? m_routes->Match(spec.m_host, item.m_path) : nullptr;
-  const bool single = route == nullptr || route->m_singleVersion;
-  auto cached =
-    m_cache.Extract(item, spec.m_minVersion, single, MonotonicClock::Now());
-  if (!cached || aItem->m_transcript.LastEvent()) {
-    return false;
+  if (aItem.m_completeOutput) {
+    return aItem.m_completeOutput;
+  }
+  auto cached = ExtractFromCache(aItem);
+  if (!cached || aItem.m_transcript.LastEvent()) {
+    return std::nullopt;
   }
+  PartialOutput& output = cached->m_progress;
   LogLine(LogLevel::Info, "item_carried")
-    .Add("job", spec.m_id)
-    .Add("item", item.m_id)
-    .Add("after_event", cached->m_progress.m_lastEvent)
-    .Add("finished", cached->m_complete);
-  aItem->m_transcript.Restore(cached->m_progress);
-  if (cached->m_complete) {
-    Finish(aItem, ItemState::Completed);
+    .Add("job", aItem.m_job->m_spec->m_id)
+    .Add("item", aItem.Spec().m_id)
+    .Add("after_event", output.m_lastEvent)
+    .Add("finished", output.m_complete)
+    .Add("scored", cached->m_score.has_value());
+  if (!output.m_complete) {
+    aItem.m_transcript.Restore(output);
+    return std::nullopt;
   }
-  return cached->m_complete;
+  aItem.m_score = std::move(cached->m_score);
+  return std::move(output);
+}
+
+std::optional<CachedOutput> JobRunner::ExtractFromCache(const Item& aItem)
+{
+  const JobSpec& spec = *aItem.m_job->m_spec;
+  const Route* route =
+    m_routes ? m_routes->Match(spec.m_host, aItem.Spec().m_path) : nullptr;
+  const bool single = route == nullptr || route->m_singleVersion;
+  return m_cache.Extract(
+    aItem.Spec(), spec.m_minVersion, single, MonotonicClock::Now());
 }
 
 void JobRunner::CacheIncompleteGroups(const RunningJob& aJob)
@@ -75,9 +97,9 @@
       continue;
     }
     if (item->m_completeOutput) {
-      m_cache.Add(spec, { *item->m_completeOutput, true }, now);
-    } else if (const auto output = item->m_transcript.ToPartialOutput()) {
-      m_cache.Add(spec, { *output, false }, now);
+      m_cache.Add(spec, { *item->m_completeOutput, item->m_score }, now);
+    } else if (auto output = item->m_transcript.ToPartialOutput()) {
+      m_cache.Add(spec, { std::move(*output) }, now);
     }
   }
 }
--- a/src/auburntrestle/fleet/output_cache.cpp
+++ b/src/auburntrestle/fleet/output_cache.cpp
@@ -10,7 +10,9 @@
 {
   RemoveExpired(aNow);
   m_entries.insert_or_assign(
-    aItem.m_id, Entry{ aItem.m_path, aItem.m_body, std::move(aOutput), aNow });
+    aItem.m_id,
+    Entry{
+      aItem.m_path, aItem.m_body, aItem.m_reward, std::move(aOutput), aNow });
   m_order.push_back(aItem.m_id);
 }
 
@@ -24,7 +26,7 @@
   if (found == m_entries.end()) {
     return std::nullopt;
   }
-  const Entry entry = std::move(found->second);
+  Entry entry = std::move(found->second);
   m_entries.erase(found);
   const auto& versions = entry.m_cached.m_progress.m_versions;
   const bool fresh = aMinVersion == WeightVersion() ||
@@ -32,7 +34,13 @@
   const bool single = !aSingleVersion || versions.size() <= 1;
   const bool same =
     entry.m_path == aItem.m_path && entry.m_body == aItem.m_body;
-  return fresh && single && same ? std::optional(entry.m_cached) : std::nullopt;
+  if (!fresh || !single || !same) {
+    return std::nullopt;
+  }
+  if (entry.m_reward != aItem.m_reward) {
+    entry.m_cached.m_score.reset();
+  }
+  return std::move(entry.m_cached);
 }
 
 void OutputCache::RemoveExpired(TimePoint aNow)
--- a/src/auburntrestle/fleet/output_cache.hpp
+++ b/src/auburntrestle/fleet/output_cache.hpp
@@ -15,8 +15,8 @@
 struct CachedOutput
 {
   PartialOutput m_progress;
-  /** The item had been completed. */
-  bool m_complete = false;
+  /** Present if the reward call of the item had succeeded. */
+  std::optional<Score> m_score = std::nullopt;
 };
 
 /**
@@ -33,7 +33,8 @@
 
   /**
    * Removes the output of an item and returns it if it belongs to the same
-   * request and satisfies the conditions on its versions.
+   * request and satisfies the conditions on its versions. Its score is returned
+   * only if it belongs to the same reward call.
    *
    * @param aMinVersion the minimum weight version of all events.
    * @param aSingleVersion whether all events must have the same weight version.
@@ -55,6 +56,7 @@
   {
     std::string m_path;
     std::string m_body;
+    std::optional<RewardCall> m_reward;
     CachedOutput m_cached;
     TimePoint m_addedAt{};
   };
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/state.hpp"
 
 #include "auburntrestle/fleet/internal/fields.hpp"
+#include "auburntrestle/observe/log.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,7 +26,9 @@
 tl::expected<ItemResult, OutputStoreError> State::Load(
   const StoredResult& aResult) const
 {
-  ItemResult result{ aResult.m_id, aResult.m_state, {}, aResult.m_versions };
+  ItemResult result{
+    aResult.m_id, aResult.m_state, {}, aResult.m_versions, aResult.m_score
+  };
   if (aResult.m_output.m_bytes > 0) {
     auto output = m_outputs->Read(aResult.m_output);
     if (!output) {
@@ -211,29 +214,54 @@
     if (found == m_jobs.end() || found->second.m_ended) {
       continue;
     }
-    Job& job = found->second;
     for (const auto& result : part.m_results) {
-      const auto index = job.m_itemIndex.find(result.m_id);
-      if (index != job.m_itemIndex.end() && !job.m_hasResult[index->second]) {
-        job.m_hasResult[index->second] = true;
-        job.m_progress.erase(index->second);
-        StoredResult stored{
-          result.m_id, result.m_state, {}, result.m_versions
-        };
-        if (!result.m_output.empty()) {
-          const auto output = m_outputs->Append(result.m_output);
-          if (!output) {
-            return tl::make_unexpected(output.error());
-          }
-          stored.m_output = *output;
-        }
-        job.m_results.push_back(std::move(stored));
+      const auto& recorded = part.m_recordedOutputs;
+      const bool isRecorded =
+        std::find(recorded.begin(), recorded.end(), result.m_id) !=
+        recorded.end();
+      const auto stored = StoreResult(found->second, result, isRecorded);
+      if (!stored) {
+        return tl::make_unexpected(stored.error());
       }
     }
   }
   return CommandResult::Done;
 }
 
+tl::expected<void, OutputStoreError>
+State::StoreResult(Job& aJob, const ItemResult& aResult, bool aIsRecorded)
+{
+  const auto index = aJob.m_itemIndex.find(aResult.m_id);
+  if (index == aJob.m_itemIndex.end() || aJob.m_hasResult[index->second]) {
+    return {};
+  }
+  const std::string* output = &aResult.m_output;
+  const auto progress = aJob.m_progress.find(index->second);
+  if (aIsRecorded) {
+    if (progress == aJob.m_progress.end() || !progress->second.m_complete) {
+      observe::LogLine(observe::LogLevel::Error, "result_without_output")
+        .Add("job", aJob.m_id)
+        .Add("item", aResult.m_id);
+      return {};
+    }
+    output = &progress->second.m_output;
+  }
+  StoredResult stored{
+    aResult.m_id, aResult.m_state, {}, aResult.m_versions, aResult.m_score
+  };
+  if (!output->empty()) {
+    const auto reference = m_outputs->Append(*output);
+    if (!reference) {
+      return tl::make_unexpected(reference.error());
+    }
+    stored.m_output = *reference;
+  }
+  aJob.m_hasResult[index->second] = true;
+  aJob.m_progress.erase(index->second);
+  aJob.m_results.push_back(std::move(stored));
+  return {};
+}
+
 CommandResult State::On(const EndJob& aCommand)
 {
   const auto found = m_jobs.find(aCommand.m_job);
@@ -277,6 +305,7 @@
     progress->second.m_lastEvent = item.m_lastEvent;
     progress->second.m_output += item.m_output;
     progress->second.m_versions = item.m_versions;
+    progress->second.m_complete = item.m_complete;
   }
   return CommandResult::Done;
 }
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -118,6 +118,10 @@
   CommandResult On(const RecordProgress& aCommand);
   CommandResult On(const RecordOrder& aCommand);
   Job& AddJob(std::shared_ptr<const JobSpec> aSpec, WallTime aAcceptedAt);
+  /** Adds a result unless the item has one.
+   * @param aIsRecorded whether its output is the recorded progress. */
+  [[nodiscard]] tl::expected<void, OutputStoreError>
+  StoreResult(Job& aJob, const ItemResult& aResult, bool aIsRecorded);
   /** Marks a job as ended and releases all but its results. */
   static void Close(Job& aJob);
   void MarkRemoved(BackendRecord& aRecord);
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -107,11 +107,20 @@
         });
     },
     *m_options.m_instruments);
+  RewardCallerOptions rewards;
+  rewards.m_home = m_options.m_dataCentre;
+  m_rewards = std::make_unique<RewardCaller>(m_loop,
+                                             *m_client,
+                                             m_protocol,
+                                             std::move(rewards),
+                                             *m_options.m_instruments,
+                                             std::random_device()());
   m_runner = std::make_unique<JobRunner>(
     m_loop,
     *m_client,
     m_protocol,
     *m_engines,
+    *m_rewards,
     [this](const Command& aCommand, std::function<void(bool)> aCallback) {
       ProposeLocally(aCommand,
                      [callback = std::move(aCallback)](
@@ -386,17 +395,13 @@
           .Add("address", record.m_address)
           .Add("state", static_cast<int>(record.m_state))
           .Add("incarnation", record.m_incarnation);
-        if (m_replica->IsLeading() && m_routes) {
-          m_engines->SetDirectory(m_replica->GetState().Backends(), *m_routes);
-        }
+        UpdateBackends();
         m_queries->OnStateChanged();
       },
       [this](const RemoveBackend& aRemoved) {
         LogLine(LogLevel::Info, "backend_removed")
           .Add("backend", aRemoved.m_id);
-        if (m_replica->IsLeading() && m_routes) {
-          m_engines->SetDirectory(m_replica->GetState().Backends(), *m_routes);
-        }
+        UpdateBackends();
         m_queries->OnStateChanged();
       },
       [this](const fleet::PublishWeights& aPublished) {
@@ -472,11 +477,21 @@
     static_cast<double>(stored.m_version.Get()));
   m_routes = std::make_shared<const RouteTable>(std::move(*table));
   if (m_replica->IsLeading()) {
-    m_engines->SetDirectory(m_replica->GetState().Backends(), *m_routes);
+    UpdateBackends();
     m_runner->SetRoutes(m_routes);
   }
 }
 
+void StoreService::UpdateBackends()
+{
+  if (!m_replica->IsLeading() || !m_routes) {
+    return;
+  }
+  const auto& backends = m_replica->GetState().Backends();
+  m_engines->SetDirectory(backends, *m_routes);
+  m_rewards->SetBackends(backends);
+}
+
 void StoreService::OnLeadershipChanged(bool aIsLeading)
 {
   m_options.m_instruments->Count(observe::counters::kLeaderships,
@@ -493,9 +508,7 @@
   m_engines->Start(Fencing(m_replica->GetTerm().Get()), m_lastOrderAt);
   m_engines->SetNewest(state.Weights());
   m_runner->Start(state, m_routes);
-  if (m_routes) {
-    m_engines->SetDirectory(state.Backends(), *m_routes);
-  }
+  UpdateBackends();
 }
 
 void StoreService::ForgetExpiredJobs()
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -119,6 +119,9 @@
   void OnRestored();
   void OnLeadershipChanged(bool aIsLeading);
   void UpdateRoutes();
+  /** Passes the backend servers on to what runs jobs while this instance
+   * leads. */
+  void UpdateBackends();
   void ForgetExpiredJobs();
 
   event_loop::EventLoop& m_loop;
@@ -130,6 +133,7 @@
   std::unique_ptr<LeaderLink> m_link;
   std::unique_ptr<http::Client> m_client;
   std::unique_ptr<EnginePool> m_engines;
+  std::unique_ptr<RewardCaller> m_rewards;
   std::unique_ptr<JobRunner> m_runner;
   std::shared_ptr<const RouteTable> m_routes;
   /** The newest notice of a leader to this instance. */
--- a/src/auburntrestle/observe/instruments.hpp
+++ b/src/auburntrestle/observe/instruments.hpp
@@ -16,6 +16,7 @@
   "trestle_backend_failures_total";
 inline constexpr std::string_view kHedges = "trestle_hedges_total";
 inline constexpr std::string_view kItems = "trestle_items_total";
+inline constexpr std::string_view kRewards = "trestle_rewards_total";
 inline constexpr std::string_view kBrokenRuns = "trestle_broken_runs_total";
 inline constexpr std::string_view kOrders = "trestle_orders_total";
 inline constexpr std::string_view kProposals = "trestle_proposals_total";
@@ -28,6 +29,7 @@
 inline constexpr std::string_view kResponseTime = "trestle_response_seconds";
 inline constexpr std::string_view kCommitTime = "trestle_commit_seconds";
 inline constexpr std::string_view kItemTime = "trestle_item_seconds";
+inline constexpr std::string_view kRewardTime = "trestle_reward_seconds";
 } // namespace histograms
 
 /** Names of the gauges. */
--- a/src/auburntrestle/operator_client/explain.cpp
+++ b/src/auburntrestle/operator_client/explain.cpp
@@ -13,9 +13,10 @@
 namespace {
 
 /** Keys whose value may be the id. */
-constexpr std::array<std::string_view, 4> kIdKeys{ "request",
+constexpr std::array<std::string_view, 5> kIdKeys{ "request",
                                                    "job",
                                                    "item",
+                                                   "reward",
                                                    "backend" };
 
 /** Removes one value, quoted or not, from the front of a line.
@@ -55,6 +56,9 @@
   return aRecord.m_event == "item_run_broken" ||
          aRecord.m_event == "item_attempt_failed" ||
          aRecord.m_event == "item_without_route" ||
+         aRecord.m_event == "reward_attempt_failed" ||
+         aRecord.m_event == "reward_unsuccessful" ||
+         aRecord.m_event == "reward_without_route" ||
          aRecord.Field("lost") == "1";
 }
 
@@ -111,6 +115,17 @@
     return "an engine failed it with " + field("status") + ", attempt " +
            field("attempts");
   }
+  if (event == "reward_unsuccessful") {
+    return "its reward call to backend server " + field("backend") +
+           " ended: " + field("reason");
+  }
+  if (event == "reward_attempt_failed") {
+    return "the reward model failed its reward call with " + field("status") +
+           ", attempt " + field("failures");
+  }
+  if (event == "reward_without_route") {
+    return "no route matches its reward call";
+  }
   if (event == "item_finished") {
     return field("lost") == "1" ? "given up" : "completed";
   }
@@ -128,11 +143,19 @@
 int GetRank(const LogRecord& aRecord)
 {
   static const std::map<std::string, int, std::less<>> kRanks{
-    { "request_refused", 3 }, { "no_route", 3 },
-    { "caller_left", 3 },     { "request_answered", 3 },
-    { "item_finished", 3 },   { "item_attempt_failed", 2 },
-    { "item_run_broken", 2 }, { "backend_failed", 2 },
-    { "backend_refused", 2 }, { "job_ended", 1 },
+    { "request_refused", 3 },
+    { "no_route", 3 },
+    { "caller_left", 3 },
+    { "request_answered", 3 },
+    { "item_finished", 3 },
+    { "item_attempt_failed", 2 },
+    { "item_run_broken", 2 },
+    { "backend_failed", 2 },
+    { "backend_refused", 2 },
+    { "reward_unsuccessful", 2 },
+    { "reward_attempt_failed", 2 },
+    { "reward_without_route", 2 },
+    { "job_ended", 1 },
     { "job_submitted", 1 }
   };
   const auto found = kRanks.find(aRecord.m_event);
--- a/src/auburntrestle/protocol/pack.cpp
+++ b/src/auburntrestle/protocol/pack.cpp
@@ -250,6 +250,12 @@
   return { object->via.str.ptr, object->via.str.size };
 }
 
+bool Reader::HasMoreElements() const noexcept
+{
+  const internal::Level& level = m_state->m_levels.back();
+  return !HasFailed() && level.m_next != level.m_end;
+}
+
 bool Reader::SkipNil()
 {
   if (HasFailed()) {
--- a/src/auburntrestle/protocol/pack.hpp
+++ b/src/auburntrestle/protocol/pack.hpp
@@ -44,8 +44,27 @@
 template<typename Enum>
 inline constexpr Enum kLastValue = Enum::ThisEnumHasNoSpecialisationOfLastValue;
 
+/**
+ * A field that was added to the end of a type which older processes have stored
+ * or still send. It is absent in what they wrote and then keeps its value. All
+ * other fields come before it:
+ *
+ *   aArchive(aVote.term, aVote.candidate, Appended{ aVote.reason });
+ */
+template<typename Type>
+struct Appended
+{
+  Type& m_value;
+};
+template<typename Type>
+Appended(Type&) -> Appended<Type>;
+
 namespace internal {
 
+template<typename Type>
+inline constexpr bool kIsAppended = false;
+template<typename Type>
+inline constexpr bool kIsAppended<Appended<Type>> = true;
 template<typename Type>
 inline constexpr bool kIsStrong = false;
 template<typename Tag, typename Value>
@@ -123,12 +142,16 @@
 
   /**
    * Reads the values from one array. An array with more elements is accepted,
-   * since a newer version may append fields; one with fewer is not.
+   * since a newer version may append fields; one with fewer is accepted only if
+   * the missing ones are Appended.
    */
   template<typename... Values>
-  void operator()(Values&... aValues)
+  void operator()(Values&&... aValues)
   {
-    EnterArray(sizeof...(aValues));
+    constexpr std::size_t kRequired =
+      (std::size_t{ !internal::kIsAppended<std::remove_cvref_t<Values>> } +
+       ... + 0);
+    EnterArray(kRequired);
     (Read(aValues), ...);
     LeaveArray();
   }
@@ -149,6 +172,8 @@
   [[nodiscard]] std::int64_t ReadSigned(std::int64_t aMin, std::int64_t aMax);
   [[nodiscard]] double ReadDouble();
   [[nodiscard]] std::string ReadString();
+  /** @return whether the current array has further elements. */
+  [[nodiscard]] bool HasMoreElements() const noexcept;
   /** Skips the next value if it is nil. @return whether it was nil. */
   [[nodiscard]] bool SkipNil();
   /** Starts reading an array. @return its length; 0 after a failure. */
@@ -169,7 +194,9 @@
 template<typename Type>
 void Writer::Write(const Type& aValue)
 {
-  if constexpr (std::same_as<Type, bool>) {
+  if constexpr (internal::kIsAppended<Type>) {
+    Write(aValue.m_value);
+  } else if constexpr (std::same_as<Type, bool>) {
     WriteBool(aValue);
   } else if constexpr (std::unsigned_integral<Type>) {
     WriteUnsigned(aValue);
@@ -213,7 +240,11 @@
 template<typename Type>
 void Reader::Read(Type& aValue)
 {
-  if constexpr (std::same_as<Type, bool>) {
+  if constexpr (internal::kIsAppended<Type>) {
+    if (HasMoreElements()) {
+      Read(aValue.m_value);
+    }
+  } else if constexpr (std::same_as<Type, bool>) {
     aValue = ReadBool();
   } else if constexpr (std::unsigned_integral<Type>) {
     aValue = static_cast<Type>(ReadUnsigned(std::numeric_limits<Type>::max()));
--- a/test/auburntrestle/fleet/backend_chooser_test.cpp
+++ b/test/auburntrestle/fleet/backend_chooser_test.cpp
@@ -67,6 +67,26 @@
   EXPECT_EQ(Choice(), "near");
 }
 
+// Guards against reward calls that take every slot from the callers' requests.
+TEST_F(BackendChooserTest, ALimitedChooserLeavesSlotsFree)
+{
+  BackendChooser limited(DataCentreId("here"), ChooserLimits{ 0.5, false });
+  auto backend = Backend("near", "here");
+  backend.m_slots = 6;
+  limited.SetBackends({ backend });
+  for (int request = 0; request < 3; ++request) {
+    ASSERT_NE(limited.Choose(kService, {}, m_now), nullptr);
+    limited.RecordSent(backend.m_id);
+  }
+  EXPECT_EQ(limited.Choose(kService, {}, m_now), nullptr);
+  limited.RecordResponse(backend.m_id, std::chrono::milliseconds(20));
+  EXPECT_NE(limited.Choose(kService, {}, m_now), nullptr);
+  limited.RecordRefusal(backend.m_id, m_now);
+  EXPECT_EQ(limited.Choose(kService, {}, m_now), nullptr);
+  EXPECT_NE(limited.Choose(kService, {}, m_now + std::chrono::seconds(1)),
+            nullptr);
+}
+
 TEST_F(BackendChooserTest, NeverChoosesAMisdirectedBackend)
 {
   m_chooser.RecordMisdirection(BackendId("near"));
--- a/test/auburntrestle/fleet/output_cache_test.cpp
+++ b/test/auburntrestle/fleet/output_cache_test.cpp
@@ -28,7 +28,7 @@
   JobItem item;
   item.m_id = ItemId("item");
   item.m_body = "body";
-  cache.Add(item, { { 5, "text", GetParam().m_versions }, false }, now);
+  cache.Add(item, { { 5, "text", GetParam().m_versions } }, now);
   item.m_body = GetParam().m_body;
   const auto extracted = cache.Extract(item,
                                        WeightVersion(GetParam().m_minVersion),
@@ -38,6 +38,28 @@
   EXPECT_EQ(cache.size(), 0U);
 }
 
+// Guards against the score of another reward call.
+TEST(OutputCacheScoreTest, AScoreBelongsToItsRewardCall)
+{
+  const TimePoint now{ std::chrono::seconds(10) };
+  OutputCache cache;
+  JobItem item;
+  item.m_id = ItemId("item");
+  item.m_reward = RewardCall{ RewardId("reward"), "host", "/path", "body" };
+  const CachedOutput scored{ { 5, "text", {}, true }, Score("score") };
+  cache.Add(item, scored, now);
+  const auto same = cache.Extract(item, WeightVersion(), false, now);
+  ASSERT_TRUE(same);
+  EXPECT_EQ(same->m_score, Score("score"));
+
+  cache.Add(item, scored, now);
+  item.m_reward->m_body = "other body";
+  const auto other = cache.Extract(item, WeightVersion(), false, now);
+  ASSERT_TRUE(other);
+  EXPECT_TRUE(other->m_progress.m_complete);
+  EXPECT_FALSE(other->m_score);
+}
+
 const std::vector<WeightVersion> kTwo{ WeightVersion(3), WeightVersion(4) };
 
 INSTANTIATE_TEST_SUITE_P(
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburntrestle::fleet {
@@ -165,6 +166,91 @@
   EXPECT_TRUE(progress.empty());
 }
 
+// Guards against the loss of an output that waits for its score, and against an
+// output that is logged twice.
+TEST_F(StateTest, AResultTakesItsRecordedOutput)
+{
+  AcceptJob("job", 2);
+  const std::vector<WeightVersion> versions{ WeightVersion(1) };
+  Apply(RecordProgress{
+    JobId("job"),
+    { { ItemId("item0"), std::nullopt, 2, "a\nb", versions, true },
+      { ItemId("item1"), std::nullopt, 1, "a", versions, false } } });
+  const auto& progress = m_state.FindJob(JobId("job"))->m_progress;
+  EXPECT_TRUE(progress.at(0).m_complete);
+  EXPECT_FALSE(progress.at(1).m_complete);
+
+  auto scored = Result(0, "");
+  scored.m_score = Score("score");
+  Apply(RecordResults{ { { JobId("job"),
+                           { scored, Result(1, "") },
+                           { ItemId("item0"), ItemId("item1") } } } });
+  // The output of item1 is incomplete, so it has no result.
+  const Job* job = m_state.FindJob(JobId("job"));
+  ASSERT_EQ(job->m_results.size(), 1U);
+  EXPECT_EQ(OutputAt("job", 0), "a\nb");
+  EXPECT_EQ(m_state.Load(job->m_results[0])->m_score, Score("score"));
+  EXPECT_TRUE(job->m_hasResult[0]);
+  EXPECT_FALSE(job->m_hasResult[1]);
+}
+
+/** Commands and a snapshot as the last build without reward calls wrote them.
+ */
+namespace earlier_build {
+
+std::string FromHex(std::string_view aHex)
+{
+  constexpr int kHex = 16;
+  std::string bytes;
+  for (std::size_t index = 0; index + 1 < aHex.size(); index += 2) {
+    const std::string digits(aHex.substr(index, 2));
+    bytes += static_cast<char>(std::stoi(digits, nullptr, kHex));
+  }
+  return bytes;
+}
+
+constexpr std::string_view kAcceptJob =
+  "92069297a36a6f62a168a32f702fa16d01009296a56974656d30a42f702f7890a4626f6479"
+  "a1670096a56974656d31a42f702f7890a4626f6479a16700cd03e8";
+constexpr std::string_view kRecordProgress =
+  "920a92a36a6f629195a56974656d30c002a3610a629101";
+constexpr std::string_view kRecordResults =
+  "9207919192a36a6f629194a56974656d3100a09101";
+constexpr std::string_view kSnapshot =
+  "989200a09090009090909197a36a6f6297a36a6f62a168a32f702fa16d01009296a5697465"
+  "6d30a42f702f7890a4626f6479a1670096a56974656d31a42f702f7890a4626f6479a16700"
+  "02cd03e89194a56974656d3100930000009101c29192009302a3610a629101";
+
+} // namespace earlier_build
+
+// Guards against stored state that an upgraded process cannot read.
+TEST_F(StateTest, ReadsTheLogOfAnEarlierBuild)
+{
+  for (const auto hex : { earlier_build::kAcceptJob,
+                          earlier_build::kRecordProgress,
+                          earlier_build::kRecordResults }) {
+    const auto command = DecodeCommand(earlier_build::FromHex(hex));
+    ASSERT_TRUE(command);
+    EXPECT_EQ(*m_state.Apply(*command), CommandResult::Done);
+  }
+  const Job* job = m_state.FindJob(JobId("job"));
+  EXPECT_FALSE(job->m_spec->m_items[0].m_reward);
+  EXPECT_EQ(job->m_progress.at(0).m_output, "a\nb");
+  EXPECT_FALSE(job->m_progress.at(0).m_complete);
+  EXPECT_FALSE(job->m_results.at(0).m_score);
+}
+
+TEST_F(StateTest, ReadsTheSnapshotOfAnEarlierBuild)
+{
+  const auto restored = State::Restore(
+    earlier_build::FromHex(earlier_build::kSnapshot), *m_outputs);
+  ASSERT_TRUE(restored);
+  const Job* job = restored->FindJob(JobId("job"));
+  ASSERT_NE(job, nullptr);
+  EXPECT_EQ(job->m_results.at(0).m_id, ItemId("item1"));
+  EXPECT_EQ(job->m_progress.at(0).m_lastEvent, 2U);
+}
+
 struct RetireCase
 {
   std::size_t m_members;
@@ -209,9 +295,13 @@
   AcceptJob("ended", 1);
   Apply(RecordResults{ { { JobId("open"), { Result(1, "one") } },
                          { JobId("ended"), { Result(0, "zero") } } } });
-  Apply(RecordProgress{
-    JobId("open"),
-    { { ItemId("item0"), std::nullopt, 2, "a\nb", { WeightVersion(1) } } } });
+  Apply(RecordProgress{ JobId("open"),
+                        { { ItemId("item0"),
+                            std::nullopt,
+                            2,
+                            "a\nb",
+                            { WeightVersion(1) },
+                            true } } });
   Apply(EndJob{ JobId("ended") });
   ASSERT_TRUE(m_outputs->Sync());
 
--- a/test/auburntrestle/operator_client/explain_test.cpp
+++ b/test/auburntrestle/operator_client/explain_test.cpp
@@ -73,6 +73,20 @@
     CauseCase{ "caller_left",
                "time=1 event=caller_left request=r1\n",
                "the caller closed its connection before the response" },
+    CauseCase{ "lost_for_its_reward",
+               "time=1 event=reward_started job=j item=r1 reward=w backend=b\n"
+               "time=2 event=reward_unsuccessful job=j item=r1 reward=w "
+               "backend=b reason=failed\n"
+               "time=2 event=reward_attempt_failed job=j item=r1 reward=w "
+               "status=500 failures=4\n"
+               "time=3 event=reward_finished job=j item=r1 reward=w scored=0\n"
+               "time=4 event=item_finished job=j item=r1 lost=1\n",
+               "given up; before that, the reward model failed its reward call "
+               "with 500, attempt 4" },
+    CauseCase{ "late_reward",
+               "time=1 event=reward_unsuccessful job=j item=i reward=r1 "
+               "backend=b reason=timed_out\n",
+               "its reward call to backend server b ended: timed_out" },
     CauseCase{ "lost_item",
                "time=1 event=item_attempt_failed job=j item=r1 status=422 "
                "attempts=1\n"
--- a/test/auburntrestle/protocol/pack_test.cpp
+++ b/test/auburntrestle/protocol/pack_test.cpp
@@ -48,6 +48,15 @@
   std::uint16_t m_small = 0;
 };
 
+/** A newer version of OldOuter. */
+struct NewOuter
+{
+  bool m_flag = false;
+  std::uint16_t m_small = 0;
+  std::optional<std::string> m_reason;
+  std::uint16_t m_count = 9;
+};
+
 void Fields(auto& aArchive, MaybeConst<Inner> auto& aInner)
 {
   aArchive(aInner.m_number);
@@ -73,6 +82,14 @@
   aArchive(aOuter.m_flag, aOuter.m_small);
 }
 
+void Fields(auto& aArchive, MaybeConst<NewOuter> auto& aOuter)
+{
+  aArchive(aOuter.m_flag,
+           aOuter.m_small,
+           Appended{ aOuter.m_reason },
+           Appended{ aOuter.m_count });
+}
+
 namespace {
 
 Outer Example()
@@ -110,6 +127,23 @@
   EXPECT_FALSE(Unpack<Outer>(Pack(OldOuter{})).has_value());
 }
 
+// Guards against stored data that an updated instance cannot read because a
+// type has a new field since.
+TEST(Pack, AppendedFieldsMayBeAbsent)
+{
+  const auto old = Unpack<NewOuter>(Pack(OldOuter{ true, 7 }));
+  ASSERT_TRUE(old.has_value());
+  EXPECT_EQ(old->m_small, 7);
+  EXPECT_FALSE(old->m_reason);
+  EXPECT_EQ(old->m_count, 9);
+
+  const auto read = Unpack<NewOuter>(Pack(NewOuter{ true, 7, "why", 1 }));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->m_reason, "why");
+  EXPECT_EQ(read->m_count, 1);
+  EXPECT_FALSE(Unpack<NewOuter>(Pack(Inner{})).has_value());
+}
+
 // Guards against accepting values of another type or out of range.
 TEST(Pack, RefusesWhatDoesNotFit)
 {
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -185,6 +185,78 @@
   EXPECT_EQ(item.m_group, fleet::GroupId("g"));
 }
 
+Json JobWithRewards()
+{
+  Json items = Json::array();
+  for (const char* id : { "a", "b" }) {
+    const Json scorer{ { "id", std::string("reward-") + id },
+                       { "host", "app.example" },
+                       { "path", "/score/1" },
+                       { "body", "cHJvbXB0" } };
+    items.push_back({ { "id", id },
+                      { "path", "/p/1" },
+                      { "body", "" },
+                      { "scorer", scorer } });
+  }
+  return { { "requests", std::move(items) } };
+}
+
+TEST(JobSpecTest, TranslatesRewardCalls)
+{
+  const auto spec = ReadJobSpec(JobWithRewards().dump());
+  ASSERT_TRUE(spec);
+  const fleet::RewardCall expected{
+    fleet::RewardId("reward-b"), "app.example", "/score/1", "prompt"
+  };
+  EXPECT_EQ(spec->m_items.at(1).m_reward, expected);
+}
+
+class RewardCallTest : public testing::TestWithParam<ChangeCase>
+{};
+
+// Guards against a job of which a part can never be completed.
+TEST_P(RewardCallTest, AFaultyOneRefusesTheJob)
+{
+  Json document = JobWithRewards();
+  GetParam().m_change(document["requests"][1]["scorer"]);
+  const auto spec = ReadJobSpec(document.dump());
+  EXPECT_EQ(spec ? "" : spec.error().m_field, GetParam().m_problem);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Faults,
+  RewardCallTest,
+  testing::Values(
+    ChangeCase{ "none", [](Json&) {}, "" },
+    ChangeCase{ "null", [](Json& aScorer) { aScorer = nullptr; }, "" },
+    ChangeCase{ "unknown_field", [](Json& aScorer) { aScorer["x"] = 1; }, "" },
+    ChangeCase{ "empty_body", [](Json& aScorer) { aScorer["body"] = ""; }, "" },
+    ChangeCase{ "text",
+                [](Json& aScorer) { aScorer = "reward-b"; },
+                "requests" },
+    ChangeCase{ "no_id",
+                [](Json& aScorer) { aScorer.erase("id"); },
+                "requests" },
+    ChangeCase{ "empty_id",
+                [](Json& aScorer) { aScorer["id"] = ""; },
+                "requests" },
+    ChangeCase{ "no_host",
+                [](Json& aScorer) { aScorer.erase("host"); },
+                "requests" },
+    ChangeCase{ "number_as_path",
+                [](Json& aScorer) { aScorer["path"] = 7; },
+                "requests" },
+    ChangeCase{ "no_body",
+                [](Json& aScorer) { aScorer.erase("body"); },
+                "requests" },
+    ChangeCase{ "unreadable_body",
+                [](Json& aScorer) { aScorer["body"] = "%%%%"; },
+                "requests" },
+    ChangeCase{ "same_id",
+                [](Json& aScorer) { aScorer["id"] = "reward-a"; },
+                "scorer" }),
+  NameOf);
+
 class BadJobSpecTest : public testing::TestWithParam<std::string>
 {};
 
@@ -214,11 +286,18 @@
                        fleet::ItemState::Completed,
                        "x\ny",
                        { WeightVersion(6), WeightVersion(7) } },
-                     { fleet::ItemId("b"), fleet::ItemState::Lost, "", {} } };
+                     { fleet::ItemId("b"), fleet::ItemState::Lost, "", {} },
+                     { fleet::ItemId("c"),
+                       fleet::ItemState::Completed,
+                       "z",
+                       { WeightVersion(7) },
+                       fleet::Score("stamp") } };
   const auto document = Json::parse(WriteResults(view));
   EXPECT_EQ(document, Json::parse(R"({"total":3,"next":2,"results":[
     {"id":"a","state":"completed","output":"x\ny","versions":[6,7]},
-    {"id":"b","state":"lost","output":"","versions":[]}]})"));
+    {"id":"b","state":"lost","output":"","versions":[]},
+    {"id":"c","state":"completed","output":"z","versions":[7],
+     "score":"stamp"}]})"));
 }
 
 } // namespace
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -26,6 +26,9 @@
   /** The delay of a response to a request that is run. */
   Duration m_runTime{};
   std::function<void(const std::string&)> m_onRun;
+  /** Decides on a request outside batch jobs: @return its status, 200 for a
+   * proper response. Absent for 200. */
+  std::function<int(const std::string&)> m_plainStatus;
   std::function<void(const Json&)> m_onOrder;
 };
 
@@ -172,6 +175,8 @@
     aResponse.m_headers.Add(names::kRequestId, id);
     aResponse.m_headers.Add(names::kSignature, Signature(id));
     if (!aRequest.Path().starts_with("/jobs/")) {
+      aResponse.m_status =
+        m_options.m_plainStatus ? m_options.m_plainStatus(id) : 200;
       aResponse.m_body = PlainResponse(aRequest.m_body);
       return;
     }
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -7,10 +7,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -161,6 +163,21 @@
     }.dump();
   }
 
+  /** @return a job whose items have reward calls "reward-ID". */
+  [[nodiscard]] static std::string MakeScoredJob(
+    int aItems,
+    const std::string& aRewardPath = "/plain/score")
+  {
+    Json job = Json::parse(MakeJob(aItems));
+    for (auto& item : job["requests"]) {
+      item["scorer"] = { { "id", "reward-" + item["id"].get<std::string>() },
+                         { "host", kHost },
+                         { "path", aRewardPath },
+                         { "body", "cHJvbXB0" } };
+    }
+    return job.dump();
+  }
+
   /** Reads a job until all of its results have been returned. */
   Json ReadAllResults(const std::string& aJob)
   {
@@ -182,6 +199,15 @@
     }
   }
 
+  SamplerOptions MakeSamplerOptions()
+  {
+    SamplerOptions options;
+    options.m_plainStatus = [this](const std::string& aId) {
+      return m_plainStatus ? m_plainStatus(aId) : 200;
+    };
+    return options;
+  }
+
   void SetUpService()
   {
     SendUntil(200, m_controls, "PUT", "/auburntrestle/config", Manifest(1));
@@ -196,7 +222,9 @@
 
   event_loop::EventLoop m_loop;
   http::Client m_client{ m_loop, {} };
-  Sampler m_sampler{ m_loop, "i-1", "m" };
+  /** Decides on the requests outside batch jobs. */
+  std::function<int(const std::string&)> m_plainStatus;
+  Sampler m_sampler{ m_loop, "i-1", "m", MakeSamplerOptions() };
   PortSource m_ports;
   std::filesystem::path m_folder;
   std::vector<std::string> m_peers;
@@ -270,6 +298,86 @@
   }
 }
 
+// Guards against items that are completed without a score, and against a call
+// that always fails and keeps its item until the end of the job.
+TEST_F(WholePathTest, AnItemIsCompletedByItsScore)
+{
+  SetUpService();
+  std::map<std::string, int> calls;
+  m_plainStatus = [&calls](const std::string& aId) {
+    ++calls[aId];
+    const bool fails =
+      aId == "reward-item1" || (aId == "reward-item2" && calls[aId] == 1);
+    return fails ? 500 : 200;
+  };
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeScoredJob(4), "job-1");
+  const Json results = ReadAllResults("job-1");
+  ASSERT_EQ(results.size(), 4U);
+  for (const auto& result : results) {
+    const std::string id = result["id"];
+    SCOPED_TRACE(id);
+    if (id == "item1") {
+      EXPECT_EQ(result["state"], "lost");
+      EXPECT_FALSE(result.contains("score"));
+      continue;
+    }
+    EXPECT_EQ(result["state"], "completed");
+    EXPECT_EQ(result["score"], Sampler::Signature("reward-" + id));
+    std::set<std::uint64_t> versions;
+    EXPECT_TRUE(Sampler::IsCompleteOutput(id, result["output"], versions));
+  }
+  // As often as the route of the job permits, which is more than that of the
+  // reward call.
+  EXPECT_EQ(calls["reward-item1"], 3);
+  EXPECT_EQ(calls["reward-item2"], 2);
+}
+
+// Guards against an accepted job whose items can never be completed.
+TEST_F(WholePathTest, AJobWithoutARouteForItsRewardCallsIsRefused)
+{
+  SetUpService();
+  const auto refused = Send(
+    m_callers, "POST", "/jobs/a", MakeScoredJob(1, "/unknown/score"), "job-1");
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->m_status, 503);
+  SendUntil(404, { m_callers }, "GET", "/auburntrestle/lots/job-1");
+}
+
+// Guards against a new leader that generates outputs again which only lack
+// their score.
+TEST_F(WholePathTest, ANewLeaderRepeatsTheRewardCallOnly)
+{
+  SetUpService();
+  bool isDown = true;
+  std::set<std::string> failed;
+  m_plainStatus = [&](const std::string& aId) {
+    if (isDown && aId.starts_with("reward-")) {
+      failed.insert(aId);
+      return 504;
+    }
+    return 200;
+  };
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeScoredJob(2), "job-1");
+  while (failed.size() < 2) {
+    m_loop.Context().run_one();
+  }
+  // The outputs are recorded while the reward calls fail.
+  for (int store = 0; store < kStores; ++store) {
+    m_processes.at("store" + std::to_string(store)).Kill();
+    StartStore(store, false);
+    SendUntil(200, m_controls, "GET", "/auburntrestle/config");
+  }
+  isDown = false;
+  const Json results = ReadAllResults("job-1");
+  for (const auto& result : results) {
+    EXPECT_EQ(result["state"], "completed");
+    EXPECT_TRUE(result.contains("score"));
+  }
+  const auto& executed = m_sampler.ExecutedRequests();
+  EXPECT_EQ(std::count(executed.begin(), executed.end(), "item0"), 1);
+  EXPECT_EQ(std::count(executed.begin(), executed.end(), "item1"), 1);
+}
+
 TEST_F(WholePathTest, ALeavingSamplerGetsNoWork)
 {
   SetUpService();
