Let members of the log answer the watches of entry instances

Change: every member but the leader is a relay. It asks the leader for its versions only (DirectoryConfirmation) and vouches for its state as of the time of the question once it has reached them. Entry instances spread over the relays of their data centre by a hash (RelaySelector), and ask the leader only while no relay is usable. A view carries the age of the confirmation; lower versions and earlier terms are ignored, so a relay that is behind never sets an instance back.

--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -18,6 +18,11 @@
  * timeout of the query with its retries. */
 constexpr Duration kMaxWatchWait = std::chrono::milliseconds(300);
 constexpr Duration kWatchTimeout = std::chrono::milliseconds(1500);
+/** A relay that takes longer is replaced by another. */
+constexpr Duration kRelayTimeout = std::chrono::milliseconds(1000);
+/** A relay whose last confirmation by the leader is older is replaced by
+ * another. */
+constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
 constexpr Duration kWatchRetryDelay = std::chrono::milliseconds(50);
 /** Routes that were not confirmed for this long may be out of date. */
 constexpr Duration kMaxRoutesAge = std::chrono::milliseconds(1500);
@@ -43,6 +48,7 @@
             std::move(aHeaders),
             aRelay,
             *m_options.m_instruments)
+  , m_relays(m_options.m_self, m_options.m_dataCentre)
 {
 }
 
@@ -75,45 +81,64 @@
   }
   m_transport = std::move(*transport);
   m_link->SetTransport(m_transport.get());
-  WatchLeader();
+  WatchDirectory();
   return {};
 }
 
-void EntryService::WatchLeader()
+void EntryService::WatchDirectory()
 {
-  m_link->SendQuery(
-    m_watch,
-    kWatchTimeout,
-    kMaxWatchWait,
-    [this](const tl::expected<ReplyBody, LinkError>& aReply) {
-      const auto* view =
-        aReply ? std::get_if<DirectoryView>(&*aReply) : nullptr;
-      const bool connected = view != nullptr;
-      if (std::exchange(m_connected, connected) != connected) {
-        LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost");
-      }
-      if (connected) {
-        HandleDirectory(*view);
-        WatchLeader();
-      } else {
-        m_loop.After(kWatchRetryDelay, [this] { WatchLeader(); });
-      }
-    });
+  const auto relay = m_relays.Select(MonotonicClock::Now());
+  auto handle = [this,
+                 relay](const tl::expected<ReplyBody, LinkError>& aReply) {
+    HandleWatchReply(relay, aReply);
+  };
+  if (relay) {
+    m_link->SendQueryTo(*relay, m_watch, kRelayTimeout, std::move(handle));
+  } else {
+    m_link->SendQuery(m_watch, kWatchTimeout, kMaxWatchWait, std::move(handle));
+  }
+}
+
+void EntryService::HandleWatchReply(
+  const std::optional<InstanceId>& aRelay,
+  const tl::expected<ReplyBody, LinkError>& aReply)
+{
+  const auto* view = aReply ? std::get_if<DirectoryView>(&*aReply) : nullptr;
+  const bool connected =
+    view != nullptr && view->m_confirmationAge < kMaxConfirmationAge;
+  if (std::exchange(m_connected, connected) != connected) {
+    LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost")
+      .Add("relay", aRelay ? aRelay->Get() : "none");
+  }
+  if (aRelay && connected) {
+    m_relays.RecordSuccess(*aRelay);
+  } else if (aRelay) {
+    m_relays.RecordFailure(*aRelay, MonotonicClock::Now());
+  }
+  if (view != nullptr) {
+    HandleDirectory(*view);
+  }
+  if (connected) {
+    WatchDirectory();
+  } else {
+    m_loop.After(kWatchRetryDelay, [this] { WatchDirectory(); });
+  }
 }
 
 void EntryService::HandleDirectory(const DirectoryView& aView)
 {
   if (aView.m_term < m_watch.m_term) {
-    // Sent by a former leader that has not learned of its successor.
+    // Confirmed by a former leader that has not learned of its successor.
     return;
   }
-  m_routesConfirmedAt = MonotonicClock::Now();
+  m_routesConfirmedAt = std::max(
+    m_routesConfirmedAt, MonotonicClock::Now() - aView.m_confirmationAge);
   m_watch.m_term = aView.m_term;
   if (aView.m_configuration &&
       aView.m_configuration->m_version > m_watch.m_configuration) {
     ApplyConfiguration(*aView.m_configuration);
   }
-  if (aView.m_backends) {
+  if (aView.m_backends && aView.m_directory > m_watch.m_directory) {
     m_watch.m_directory = aView.m_directory;
     m_chooser.SetBackends(*aView.m_backends);
     m_options.m_instruments->SetGauge(
@@ -124,6 +149,7 @@
       .Add("backends", aView.m_backends->size());
   }
   m_link->SetCandidates(aView.m_members);
+  m_relays.SetRelays(aView.m_relays);
 }
 
 void EntryService::ApplyConfiguration(const ConfigurationView& aView)
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -6,6 +6,7 @@
 #include "auburntrestle/fleet/backend_chooser.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/leader_link.hpp"
+#include "auburntrestle/fleet/relay_selector.hpp"
 #include "auburntrestle/fleet/request_relay.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
@@ -85,7 +86,10 @@
                RequestHeaders aHeaders,
                RelayOptions aRelay);
   [[nodiscard]] tl::expected<void, StartError> Open();
-  void WatchLeader();
+  /** Asks a relay, or the leader, for newer routes and backend servers. */
+  void WatchDirectory();
+  void HandleWatchReply(const std::optional<InstanceId>& aRelay,
+                        const tl::expected<ReplyBody, LinkError>& aReply);
   void HandleDirectory(const DirectoryView& aView);
   void ApplyConfiguration(const ConfigurationView& aView);
 
@@ -99,6 +103,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::function<void(const RouteTable&)> m_onConfiguration;
   Watch m_watch;
+  RelaySelector m_relays;
   TimePoint m_routesConfirmedAt{};
   bool m_connected = false;
   std::unique_ptr<protocol::PeerTransport> m_transport;
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -200,7 +200,10 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::Watch> auto& aQuery)
 {
-  aArchive(aQuery.m_configuration, aQuery.m_term, aQuery.m_directory);
+  aArchive(aQuery.m_configuration,
+           aQuery.m_term,
+           aQuery.m_directory,
+           Appended{ aQuery.m_versionsOnly });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::LeaderNotice> auto& aNotice)
@@ -233,13 +236,21 @@
   aArchive(aView.m_state);
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::Relay> auto& aRelay)
+{
+  aArchive(aRelay.m_instance, aRelay.m_dataCentre);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::DirectoryView> auto& aView)
 {
   aArchive(aView.m_term,
            aView.m_directory,
            aView.m_configuration,
            aView.m_backends,
-           aView.m_members);
+           aView.m_members,
+           Appended{ aView.m_newestConfiguration },
+           Appended{ aView.m_confirmationAge },
+           Appended{ aView.m_relays });
 }
 
 } // namespace auburntrestle::protocol
--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -94,6 +94,40 @@
   Try(pending);
 }
 
+void LeaderLink::SendQueryTo(const InstanceId& aInstance,
+                             const Query& aQuery,
+                             Duration aTimeout,
+                             ReplyCallback aCallback)
+{
+  RegisterPeer(aInstance);
+  const auto handle = [aInstance, callback = std::move(aCallback)](
+                        const protocol::Expected<std::string>& aReply) {
+    auto body =
+      aReply ? DecodeReplyBody(*aReply) : tl::make_unexpected(aReply.error());
+    if (body) {
+      callback(std::move(*body));
+      return;
+    }
+    if (aReply) {
+      observe::LogLine(observe::LogLevel::Warning, "answer_unreadable")
+        .Add("instance", aInstance);
+    }
+    callback(tl::make_unexpected(LinkError::OutcomeUnknown));
+  };
+  const auto sent = m_transport->Call(
+    aInstance,
+    kQueryMethod,
+    Encode(aQuery),
+    aTimeout,
+    [this, handle](protocol::Expected<std::string> aReply) {
+      m_loop.Post([handle, reply = std::move(aReply)] { handle(reply); });
+    });
+  if (!sent) {
+    m_loop.Post(
+      [handle, error = sent.error()] { handle(tl::make_unexpected(error)); });
+  }
+}
+
 void LeaderLink::Try(const PendingPtr& aPending)
 {
   if (MonotonicClock::Now() >= aPending->m_deadline) {
--- a/src/auburntrestle/fleet/leader_link.hpp
+++ b/src/auburntrestle/fleet/leader_link.hpp
@@ -80,6 +80,12 @@
                  Duration aMaxWait,
                  ReplyCallback aCallback);
 
+  /** Sends a query to one instance, once, whether it leads or not. */
+  void SendQueryTo(const InstanceId& aInstance,
+                   const Query& aQuery,
+                   Duration aTimeout,
+                   ReplyCallback aCallback);
+
   /** Replaces the instances that are always candidates. */
   void SetSeeds(std::vector<InstanceId> aSeeds);
   /** Replaces the instances that are tried while no leader is known; an empty
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -78,12 +78,15 @@
 };
 
 /** Waits until something is newer than the given state; the reply is a
- * DirectoryView. */
+ * DirectoryView. Answered by the leader and by relays. */
 struct Watch
 {
   ConfigurationVersion m_configuration;
   Term m_term;
   DirectoryRevision m_directory;
+  /** The reply needs only the versions, because the sender gets the contents
+   * through the log. Answered by the leader only. */
+  bool m_versionsOnly = false;
 };
 
 using Query =
@@ -132,9 +135,18 @@
   Retirement m_state = Retirement::Unknown;
 };
 
+/** A member of the log that passes routes and backend servers on to other
+ * instances. */
+struct Relay
+{
+  InstanceId m_instance;
+  DataCentreId m_dataCentre;
+};
+
 /** What changed relative to a Watch. */
 struct DirectoryView
 {
+  /** The term of the leader that confirmed this view. */
   Term m_term;
   DirectoryRevision m_directory;
   /** The configuration, if it is newer than the version of the Watch. */
@@ -143,6 +155,11 @@
   std::optional<std::vector<BackendRecord>> m_backends;
   /** The members of the log. */
   std::vector<InstanceId> m_members;
+  /** The version of the configuration of the replying instance. */
+  ConfigurationVersion m_newestConfiguration = {};
+  /** Age of the leader's confirmation that nothing was newer. */
+  Duration m_confirmationAge = Duration::zero();
+  std::vector<Relay> m_relays = {};
 };
 
 using ReplyBody = std::variant<CommandReply,
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -20,9 +20,12 @@
 
 } // namespace
 
-QueryServer::QueryServer(event_loop::EventLoop& aLoop, Replica& aReplica)
+QueryServer::QueryServer(event_loop::EventLoop& aLoop,
+                         Replica& aReplica,
+                         std::function<DirectorySource()> aGetSource)
   : m_loop(aLoop)
   , m_replica(aReplica)
+  , m_getSource(std::move(aGetSource))
 {
 }
 
@@ -113,13 +116,20 @@
 DirectoryView QueryServer::MakeDirectoryView(const Watch& aQuery) const
 {
   const State& state = m_replica.GetState();
+  DirectorySource source = m_getSource();
   DirectoryView view;
-  view.m_term = m_replica.GetTerm();
+  view.m_term = source.m_term;
+  view.m_confirmationAge = source.m_confirmationAge;
   view.m_directory = state.Directory();
+  view.m_newestConfiguration = state.Configuration().m_version;
+  if (aQuery.m_versionsOnly) {
+    return view;
+  }
+  view.m_relays = std::move(source.m_relays);
   if (state.Configuration().m_version > aQuery.m_configuration) {
     view.m_configuration = state.Configuration();
   }
-  if (state.Directory() != aQuery.m_directory) {
+  if (state.Directory() > aQuery.m_directory) {
     auto& backends = view.m_backends.emplace();
     for (const auto& [id, record] : state.Backends()) {
       backends.push_back(record);
@@ -131,11 +141,12 @@
 
 std::optional<ReplyBody> QueryServer::TryRead(const Watch& aQuery) const
 {
-  DirectoryView view = MakeDirectoryView(aQuery);
-  if (!view.m_configuration && !view.m_backends) {
+  const State& state = m_replica.GetState();
+  if (state.Configuration().m_version <= aQuery.m_configuration &&
+      state.Directory() <= aQuery.m_directory) {
     return std::nullopt;
   }
-  return ReplyBody(std::move(view));
+  return ReplyBody(MakeDirectoryView(aQuery));
 }
 
 void QueryServer::ConfirmAndAnswer(
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -8,14 +8,24 @@
 #include <functional>
 #include <list>
 #include <optional>
+#include <vector>
 
 namespace auburntrestle::fleet {
 
+/** What an instance that answers Watches knows beside its state. */
+struct DirectorySource
+{
+  Term m_term;
+  Duration m_confirmationAge{};
+  std::vector<Relay> m_relays;
+};
+
 /**
- * Answers queries at the leader. A query for something that the state contains
- * is answered at once. A reply that something does not exist is given only
- * after a confirmed read has shown that the state is complete. A query that
- * waits for a change is deferred until the change or its maximum wait.
+ * Answers queries at the leader, and Watches at relays too. A query for
+ * something that the state contains is answered at once. A reply that something
+ * does not exist is given only after a confirmed read has shown that the state
+ * is complete. A query that waits for a change is deferred until the change or
+ * its maximum wait.
  */
 class QueryServer
 {
@@ -23,12 +33,18 @@
   /** Gets nothing when the query was refused or the state could not be read. */
   using ReplyCallback = std::function<void(std::optional<ReplyBody>)>;
 
-  /** @param aReplica must outlive the server. */
-  QueryServer(event_loop::EventLoop& aLoop, Replica& aReplica);
+  /**
+   * @param aReplica must outlive the server.
+   * @param aGetSource provides the source of a view at the time of its reply.
+   */
+  QueryServer(event_loop::EventLoop& aLoop,
+              Replica& aReplica,
+              std::function<DirectorySource()> aGetSource);
   QueryServer(const QueryServer&) = delete;
   QueryServer& operator=(const QueryServer&) = delete;
 
-  /** Answers a query now or later. To be called on the leader only. */
+  /** Answers a query now or later. To be called on the leader, and with a Watch
+   * on relays. */
   void Handle(const Query& aQuery, ReplyCallback aCallback);
   /** Schedules a check for deferred queries that can be answered now. */
   void OnStateChanged();
@@ -58,6 +74,7 @@
 
   event_loop::EventLoop& m_loop;
   Replica& m_replica;
+  std::function<DirectorySource()> m_getSource;
   std::list<DeferredQuery> m_deferred;
   bool m_answerScheduled = false;
 };
--- /dev/null
+++ b/src/auburntrestle/fleet/relay_selector.hpp
@@ -0,0 +1,55 @@
+#ifndef AUBURNTRESTLE_FLEET_RELAY_SELECTOR_HPP
+#define AUBURNTRESTLE_FLEET_RELAY_SELECTOR_HPP
+
+#include "auburntrestle/core/ids.hpp"
+#include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace auburntrestle::fleet {
+
+/**
+ * Selects the relay from which an instance reads routes and backend servers.
+ * Designed for hundreds of instances that all want a change at the same moment:
+ * they spread over the relays by a hash, relays of the own data centre first,
+ * so that the leader's work does not grow with their number. A relay that
+ * failed is avoided with exponential backoff.
+ */
+class RelaySelector
+{
+public:
+  /** @param aSelf this instance. @param aHome its data centre. */
+  RelaySelector(InstanceId aSelf, DataCentreId aHome);
+
+  /** Replaces the relays. */
+  void SetRelays(std::vector<Relay> aRelays);
+  /** @return the relay to ask, or nothing if the leader is to be asked because
+   * no relay is usable. */
+  [[nodiscard]] std::optional<InstanceId> Select(TimePoint aNow) const;
+  /** Records a relay that did not answer or was out of date. */
+  void RecordFailure(const InstanceId& aRelay, TimePoint aNow);
+  /** Records a useful reply; ends the backoff. */
+  void RecordSuccess(const InstanceId& aRelay);
+
+private:
+  struct Backoff
+  {
+    std::uint32_t m_failures = 0;
+    TimePoint m_avoidUntil{};
+  };
+
+  [[nodiscard]] std::uint64_t RankOf(const Relay& aRelay) const;
+
+  InstanceId m_self;
+  DataCentreId m_home;
+  std::vector<Relay> m_relays;
+  std::map<InstanceId, Backoff> m_backoffs;
+};
+
+} // namespace auburntrestle::fleet
+
+#endif
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -91,7 +91,8 @@
     return tl::make_unexpected(StartError{ opened.error().m_reason });
   }
   m_replica = std::move(*opened);
-  m_queries = std::make_unique<QueryServer>(m_loop, *m_replica);
+  m_queries = std::make_unique<QueryServer>(
+    m_loop, *m_replica, [this] { return GetDirectorySource(); });
   m_client = std::make_unique<http::Client>(m_loop, http::ClientOptions{});
   m_engines = std::make_unique<EnginePool>(
     m_loop,
@@ -140,6 +141,7 @@
   m_transport = std::move(*transport);
   m_link->SetTransport(m_transport.get());
   AnnounceSelf();
+  ConfirmDirectory();
   m_loop.After(kForgetInterval, [this] { ForgetExpiredJobs(); });
   return {};
 }
@@ -262,7 +264,9 @@
     aReply.Refuse(leader ? leader->Get() : std::string());
   };
   if (!m_replica->IsLeading()) {
-    refuse();
+    if (aMethod != kQueryMethod || !TryRelay(aPayload, aReply)) {
+      refuse();
+    }
     return;
   }
   if (aMethod == kProposeMethod) {
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_FLEET_STORE_SERVICE_HPP
 
 #include "auburntrestle/event_loop/event_loop.hpp"
+#include "auburntrestle/fleet/directory_confirmation.hpp"
 #include "auburntrestle/fleet/engine_pool.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/job_runner.hpp"
@@ -114,6 +115,17 @@
   void HandleOutputChunk(const std::string& aPayload,
                          const protocol::Reply& aReply);
 
+  // Watches.
+  /** Asks the leader whether the state of this member is up to date. */
+  void ConfirmDirectory();
+  [[nodiscard]] DirectoryVersions OwnVersions() const;
+  /** @return the age of the leader's last confirmation, if there was one. */
+  [[nodiscard]] std::optional<Duration> ConfirmationAge();
+  [[nodiscard]] DirectorySource GetDirectorySource();
+  /** Answers a Watch as a relay. @return whether this instance can. */
+  [[nodiscard]] bool TryRelay(const std::string& aPayload,
+                              const protocol::Reply& aReply);
+
   // Changes of the state.
   void OnApplied(const Command& aCommand);
   void OnRestored();
@@ -138,6 +150,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   /** The newest notice of a leader to this instance. */
   LeaderNotice m_notice;
+  DirectoryConfirmation m_confirmation;
   TimePoint m_noticeReceivedAt{};
   /** When the last record of an order to an engine was applied here. */
   std::optional<TimePoint> m_lastOrderAt;
