Name the leader to members of the log without contact

At 19 s the leader storage-cebu-a-1 lost its disk and came back with an empty one. The seeds it knows were itself, a follower and a machine that had been retired, so its join requests never reached the leader, which had joined later. The leader sends notices only to stores outside the log, but the log still listed the address of the lost member. At 30 s the leader went too, with one member of three left. Nothing to do with reward calls or relays.

Change: the leader names itself also to members that did not reply for a second (InstancesToNotify, with a test). An announcement of a member that changes nothing makes no log entry; the lost member had made one a second.

--- a/src/auburntrestle/fleet/instance_options.hpp
+++ b/src/auburntrestle/fleet/instance_options.hpp
@@ -3,7 +3,9 @@
 
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/memory_limits.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
+#include "auburntrestle/http/client.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
 #include <tl/expected.hpp>
@@ -36,6 +38,7 @@
   std::vector<InstanceId> m_seeds;
   std::string m_sharedKey;
   ConfigurationReader m_readConfiguration;
+  ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   std::shared_ptr<observe::Instruments> m_instruments =
     std::make_shared<observe::Instruments>();
 };
@@ -61,6 +64,16 @@
   std::string m_reason;
 };
 
+/** @return the options of the client for backend servers. */
+[[nodiscard]] inline http::ClientOptions MakeClientOptions(
+  const ResponseLimits& aLimits)
+{
+  http::ClientOptions options;
+  options.m_maxResponseBytes = aLimits.m_responseBytes;
+  options.m_maxReceivedBytes = aLimits.m_receivedBytes;
+  return options;
+}
+
 } // namespace auburntrestle::fleet
 
 #endif
--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace auburntrestle::fleet {
 
@@ -10,6 +11,9 @@
 using consensus::Member;
 using consensus::MemberRole;
 
+/** A member that did not reply for this long may have lost its disk. */
+constexpr Duration kContactTimeout = std::chrono::seconds(1);
+
 /** Queries on the input of the plan. */
 class MembershipView
 {
@@ -214,4 +218,25 @@
   return std::nullopt;
 }
 
+std::vector<InstanceId> InstancesToNotify(const consensus::NodeStatus& aStatus,
+                                          const State& aState,
+                                          TimePoint aNow)
+{
+  std::set<InstanceId> inContact{ aStatus.m_identity.m_instance };
+  for (const auto& progress : aStatus.m_progress) {
+    if (progress.m_lastContact + kContactTimeout >= aNow) {
+      inContact.insert(progress.m_identity.m_instance);
+    }
+  }
+  std::vector<InstanceId> instances;
+  for (const auto& [instance, record] : aState.Members()) {
+    const bool isMember =
+      aStatus.m_configuration.FindInstance(instance) != nullptr;
+    if (!isMember || !inContact.contains(instance)) {
+      instances.push_back(instance);
+    }
+  }
+  return instances;
+}
+
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/membership_plan.hpp
+++ b/src/auburntrestle/fleet/membership_plan.hpp
@@ -42,6 +42,17 @@
   const std::vector<consensus::MemberIdentity>& aJoining,
   TimePoint aNow);
 
+/**
+ * Selects the instances to which the leader names itself and the members of the
+ * log. Those are the announced instances outside the log, and members without
+ * contact: one that lost its disk has a new identity, and the seeds that it
+ * knows may all have been replaced.
+ */
+[[nodiscard]] std::vector<InstanceId> InstancesToNotify(
+  const consensus::NodeStatus& aStatus,
+  const State& aState,
+  TimePoint aNow);
+
 } // namespace auburntrestle::fleet
 
 #endif
--- /dev/null
+++ b/src/auburntrestle/fleet/memory_limits.hpp
@@ -0,0 +1,31 @@
+#ifndef AUBURNTRESTLE_FLEET_MEMORY_LIMITS_HPP
+#define AUBURNTRESTLE_FLEET_MEMORY_LIMITS_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+namespace auburntrestle::fleet {
+
+/** Limits on what responses of backend servers may occupy in memory. */
+struct ResponseLimits
+{
+  /** Maximum bytes of one response. */
+  std::size_t m_responseBytes = 0;
+  /** Maximum bytes of all responses in progress together. */
+  std::size_t m_receivedBytes = 0;
+
+  friend bool operator==(const ResponseLimits&,
+                         const ResponseLimits&) = default;
+};
+
+/** @return the memory of this machine in bytes, or 0 if it is unknown. */
+[[nodiscard]] std::uint64_t MachineMemory() noexcept;
+
+/** @return the limits for a machine with this much memory; for unknown memory
+ * (0) the smallest ones. */
+[[nodiscard]] ResponseLimits ResponseLimitsFor(
+  std::uint64_t aMemoryBytes) noexcept;
+
+} // namespace auburntrestle::fleet
+
+#endif
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -90,6 +90,14 @@
   return !IsSuperseded(aRecord);
 }
 
+bool State::IsChange(const AnnounceMember& aMember) const
+{
+  const auto found = m_members.find(aMember.m_instance);
+  return found == m_members.end() ||
+         found->second.m_machine != aMember.m_machine ||
+         found->second.m_dataCentre != aMember.m_dataCentre;
+}
+
 CommandResult State::On(const AnnounceBackend& aCommand)
 {
   const BackendRecord& record = aCommand.m_record;
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -91,6 +91,7 @@
   }
   /** @return whether an announcement would change the state. */
   [[nodiscard]] bool IsChange(const BackendRecord& aRecord) const;
+  [[nodiscard]] bool IsChange(const AnnounceMember& aMember) const;
 
   /** @return the state without the outputs, as MessagePack. */
   [[nodiscard]] std::string Snapshot() const;
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -93,7 +93,8 @@
   m_replica = std::move(*opened);
   m_queries = std::make_unique<QueryServer>(
     m_loop, *m_replica, [this] { return GetDirectorySource(); });
-  m_client = std::make_unique<http::Client>(m_loop, http::ClientOptions{});
+  m_client = std::make_unique<http::Client>(
+    m_loop, MakeClientOptions(m_options.m_responseLimits));
   m_engines = std::make_unique<EnginePool>(
     m_loop,
     *m_client,
@@ -196,24 +197,22 @@
                     kAnnounceTimeout,
                     [](const tl::expected<CommandResult, LinkError>&) {});
   }
-  NotifyNonMembers();
+  NotifyInstances();
   m_loop.After(kAnnounceInterval, [this] { AnnounceSelf(); });
 }
 
-void StoreService::NotifyNonMembers()
+void StoreService::NotifyInstances()
 {
   if (!m_replica->IsLeading()) {
     return;
   }
-  const auto members = m_replica->GetLogMembers();
-  const auto notice =
-    Encode(LeaderNotice{ m_replica->GetTerm(), m_options.m_self, members });
-  for (const auto& [instance, record] : m_replica->GetState().Members()) {
-    if (std::find(members.begin(), members.end(), instance) == members.end()) {
-      std::ignore = m_transport->SetPeer(instance, instance.Get());
-      // A lost notice is superseded by the next one.
-      std::ignore = m_transport->Send(instance, kLeaderChannel, notice);
-    }
+  const auto notice = Encode(LeaderNotice{
+    m_replica->GetTerm(), m_options.m_self, m_replica->GetLogMembers() });
+  for (const auto& instance : InstancesToNotify(
+         m_replica->Status(), m_replica->GetState(), MonotonicClock::Now())) {
+    std::ignore = m_transport->SetPeer(instance, instance.Get());
+    // A lost notice is superseded by the next one.
+    std::ignore = m_transport->Send(instance, kLeaderChannel, notice);
   }
 }
 
@@ -351,15 +350,21 @@
   aReply.Fail("text store");
 }
 
+bool StoreService::IsRepeatedAnnouncement(const Command& aCommand) const
+{
+  const State& state = m_replica->GetState();
+  if (const auto* backend = std::get_if<AnnounceBackend>(&aCommand)) {
+    return !state.IsChange(backend->m_record);
+  }
+  const auto* member = std::get_if<AnnounceMember>(&aCommand);
+  return member != nullptr && !state.IsChange(*member);
+}
+
 void StoreService::ProposeLocally(
   const Command& aCommand,
   std::function<void(tl::expected<CommandResult, LinkError>)> aCallback)
 {
-  const auto* announced = std::get_if<AnnounceBackend>(&aCommand);
-  if (announced != nullptr && m_replica->IsLeading() &&
-      !m_replica->GetState().IsChange(announced->m_record)) {
-    // Instances that are not members forward every heartbeat; one without a
-    // change needs no log entry.
+  if (m_replica->IsLeading() && IsRepeatedAnnouncement(aCommand)) {
     aCallback(CommandResult::Done);
     return;
   }
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -94,14 +94,17 @@
   [[nodiscard]] LocalLeader MakeLocalLeader();
   [[nodiscard]] protocol::PeerHandlers MakePeerHandlers();
   void AnnounceSelf();
-  /** Sends a notice of the leader to the stores that are not members of the
-   * log. */
-  void NotifyNonMembers();
+  /** Sends a notice of the leader to the stores that may not know it. */
+  void NotifyInstances();
   void HandleLeaderNotice(const std::string& aPayload);
   /** @return the leader known to the replica, or named by a recent notice. */
   [[nodiscard]] std::optional<InstanceId> KnownLeader() const;
 
   // Proposals and calls of peers.
+  /** @return whether a command announces what the state has already, which
+   * needs no log entry. Instances that are not members of the log announce
+   * themselves, and forward every heartbeat, again and again. */
+  [[nodiscard]] bool IsRepeatedAnnouncement(const Command& aCommand) const;
   void ProposeLocally(
     const Command& aCommand,
     std::function<void(tl::expected<CommandResult, LinkError>)> aCallback);
--- a/src/auburntrestle/http/client.cpp
+++ b/src/auburntrestle/http/client.cpp
@@ -19,6 +19,8 @@
       return "malformed";
     case CallFailure::TimedOut:
       return "timed_out";
+    case CallFailure::TooLarge:
+      return "too_large";
   }
   return "unknown";
 }
@@ -74,6 +76,11 @@
   m_pool->Close(aAddress);
 }
 
+std::size_t Client::ReceivedBytes() const noexcept
+{
+  return m_pool->m_receivedBytes;
+}
+
 std::shared_ptr<Call> Fetch(Client& aClient,
                             const std::string& aAddress,
                             const Request& aRequest,
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,9 @@
   Malformed,
   /** The time limit passed. */
   TimedOut,
+  /** The response exceeds a size limit, or all responses in progress together
+   * exceed theirs. */
+  TooLarge,
 };
 
 /** @return the stable name of a failure, such as "broken_off". */
@@ -58,6 +62,9 @@
   Duration m_connectTimeout = std::chrono::milliseconds(250);
   /** For the whole call. */
   Duration m_timeout = std::chrono::seconds(10);
+  /** Maximum bytes of the response with its head; the client's limit if absent.
+   */
+  std::optional<std::size_t> m_maxResponseBytes = std::nullopt;
 };
 
 /** Limits of a client. */
@@ -68,6 +75,11 @@
   /** An idle connection is closed after this time, or earlier if the server
    * announces a shorter one. */
   Duration m_idleTimeout = std::chrono::seconds(8);
+  /** Maximum bytes received for one response: head, interim responses, body and
+   * its framing. A server in trouble may send without end. */
+  std::size_t m_maxResponseBytes = std::size_t{ 16 } * 1024 * 1024;
+  /** Maximum bytes received for all responses in progress together. */
+  std::size_t m_maxReceivedBytes = std::size_t{ 48 } * 1024 * 1024;
 };
 
 namespace internal {
@@ -109,6 +121,8 @@
 
   /** Closes the idle connections to an address. */
   void CloseIdle(const std::string& aAddress);
+  /** @return the bytes received for the responses in progress. */
+  [[nodiscard]] std::size_t ReceivedBytes() const noexcept;
 
 private:
   std::shared_ptr<internal::ClientPool> m_pool;
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -94,7 +94,8 @@
     m_parser.ExpectNoBody();
   }
   m_headReported = false;
-  m_receivedBytes = false;
+  m_maxResponseBytes =
+    aOptions.m_maxResponseBytes.value_or(m_pool->m_options.m_maxResponseBytes);
   SetTimer(m_callTimer, aOptions.m_timeout, [this] {
     Finish(tl::make_unexpected(CallFailure::TimedOut));
   });
@@ -185,7 +186,7 @@
     }
     return;
   }
-  if (!m_receivedBytes) {
+  if (m_receivedBytes == 0) {
     Finish(tl::make_unexpected(CallFailure::ClosedBeforeResponse));
     return;
   }
@@ -202,7 +203,10 @@
 
 void ClientConnection::HandleBytes(std::string_view aBytes)
 {
-  m_receivedBytes = true;
+  if (!CountReceived(aBytes.size())) {
+    Finish(tl::make_unexpected(CallFailure::TooLarge));
+    return;
+  }
   const std::size_t used = m_parser.Feed(aBytes);
   if (m_parser.GetProgress() == Progress::Malformed) {
     Finish(tl::make_unexpected(CallFailure::Malformed));
@@ -215,6 +219,20 @@
   }
 }
 
+bool ClientConnection::CountReceived(std::size_t aBytes)
+{
+  m_receivedBytes += aBytes;
+  m_pool->m_receivedBytes += aBytes;
+  return m_receivedBytes <= m_maxResponseBytes &&
+         m_pool->m_receivedBytes <= m_pool->m_options.m_maxReceivedBytes;
+}
+
+std::optional<CallHandlers> ClientConnection::ExtractHandlers()
+{
+  m_pool->m_receivedBytes -= std::exchange(m_receivedBytes, 0);
+  return std::exchange(m_handlers, std::nullopt);
+}
+
 void ClientConnection::ReportProgress()
 {
   if (m_parser.GetProgress() == Progress::Headers) {
@@ -239,15 +257,14 @@
 {
   const auto self = shared_from_this();
   const bool reusable = !aSurplus && !m_writing && m_parser.KeepAlive();
-  auto handlers = std::move(*m_handlers);
-  m_handlers.reset();
+  const auto handlers = ExtractHandlers();
   CancelTimer(m_callTimer);
   if (reusable) {
     ReturnToPool();
   } else {
     Close();
   }
-  handlers.m_onDone({});
+  handlers->m_onDone({});
 }
 
 void ClientConnection::ReturnToPool()
@@ -279,7 +296,7 @@
 void ClientConnection::Finish(tl::expected<void, CallFailure> aResult)
 {
   const auto self = shared_from_this();
-  auto handlers = std::exchange(m_handlers, std::nullopt);
+  const auto handlers = ExtractHandlers();
   Close();
   if (handlers) {
     handlers->m_onDone(aResult);
@@ -289,7 +306,7 @@
 void ClientConnection::Cancel()
 {
   const auto self = shared_from_this();
-  m_handlers.reset();
+  ExtractHandlers();
   Close();
 }
 
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -35,6 +35,8 @@
 
   event_loop::EventLoop& m_loop;
   ClientOptions m_options;
+  /** Bytes received for the responses in progress. */
+  std::size_t m_receivedBytes = 0;
 
 private:
   std::unordered_map<std::string,
@@ -69,6 +71,11 @@
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
   void HandleBytes(std::string_view aBytes);
+  /** Adds received bytes to the response in progress.
+   * @return whether it is within its limits. */
+  [[nodiscard]] bool CountReceived(std::size_t aBytes);
+  /** Ends the call; its response no longer counts. @return its handlers. */
+  std::optional<CallHandlers> ExtractHandlers();
   void ReportProgress();
   void OnComplete(bool aSurplus);
   void Finish(tl::expected<void, CallFailure> aResult);
@@ -93,7 +100,8 @@
   bool m_writing = false;
   bool m_reading = false;
   bool m_headReported = false;
-  bool m_receivedBytes = false;
+  std::size_t m_receivedBytes = 0;
+  std::size_t m_maxResponseBytes = 0;
   bool m_closed = false;
 };
 
--- a/test/auburntrestle/fleet/membership_plan_test.cpp
+++ b/test/auburntrestle/fleet/membership_plan_test.cpp
@@ -60,6 +60,16 @@
            std::get<consensus::RemoveMember>(*change).m_instance.Get();
   }
 
+  /** @return the instances that the leader notifies, each after a space. */
+  [[nodiscard]] std::string Notified() const
+  {
+    std::string names;
+    for (const auto& instance : InstancesToNotify(m_status, m_state, m_now)) {
+      names += " " + instance.Get();
+    }
+    return names;
+  }
+
   consensus::test::MemoryFiles m_files;
   std::unique_ptr<OutputStore> m_outputs;
   State m_state;
@@ -158,5 +168,17 @@
   EXPECT_EQ(Plan(), "none");
 }
 
+// Guards against a member that lost its disk when all seeds it knows were
+// replaced: it must learn who leads, although the log still lists its address.
+TEST_F(MembershipPlanTest, SilentMembersAndNonMembersAreNotified)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("lost", MemberRole::Voter, std::chrono::seconds(2));
+  std::ignore = m_state.Apply(
+    AnnounceMember{ InstanceId("outside"), "machine-x", DataCentreId("dc") });
+  EXPECT_EQ(Notified(), " lost outside");
+}
+
 } // namespace
 } // namespace auburntrestle::fleet
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -317,6 +317,20 @@
   EXPECT_EQ(m_state.FindJob(JobId("open"))->m_results.size(), 1U);
 }
 
+// Guards against a log entry a second from an instance outside the log, whose
+// own state never shows that it is announced.
+TEST_F(StateTest, ARepeatedAnnouncementOfAMemberIsNoChange)
+{
+  AnnounceMember member{ InstanceId("1.1.1.1:7"),
+                         "machine",
+                         DataCentreId("x") };
+  EXPECT_TRUE(m_state.IsChange(member));
+  Apply(member);
+  EXPECT_FALSE(m_state.IsChange(member));
+  member.m_machine = "other";
+  EXPECT_TRUE(m_state.IsChange(member));
+}
+
 TEST_F(StateTest, AnUnreadableSnapshotIsAnError)
 {
   EXPECT_FALSE(State::Restore("garbage", *m_outputs));
