Bound the responses of backend servers in size

On a link of 60 Mbit/s one server in trouble could put 75 MB into an entry instance of 88 MB within ten seconds.

Change: a response over its limit, or one that takes all responses in progress over theirs, ends with the failure too_large and a closed connection. Limits are settings with defaults from the machine's memory. Reports, orders and reward calls have smaller ones; an event has 1 MiB, the output of an item 8 MiB.

Measured: test tables of endless heads, interim responses, bodies, chunks, trailers, lines and events: each ends in a typed failure, what is received stays within the limit (256 KiB there). A run under load with many servers in trouble is not made.

--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(300);
 constexpr Duration kReadRetryDelay = std::chrono::milliseconds(500);
 constexpr Duration kCallTimeout = std::chrono::seconds(1);
+/** Of a report, and of the response to an order. */
+constexpr std::size_t kMaxResponseBytes = std::size_t{ 256 } * 1024;
 /** If an order gets no response, reports are checked for its effect for this
  * long. */
 constexpr Duration kUnansweredOrderTimeout = std::chrono::milliseconds(2500);
@@ -265,6 +267,7 @@
   engine.m_reportPending = true;
   http::CallOptions options;
   options.m_timeout = kCallTimeout;
+  options.m_maxResponseBytes = kMaxResponseBytes;
   std::ignore = http::Fetch(
     m_client,
     engine.m_record.m_address,
@@ -393,6 +396,7 @@
   engine.m_loadSentAt = MonotonicClock::Now();
   http::CallOptions options;
   options.m_timeout = kCallTimeout;
+  options.m_maxResponseBytes = kMaxResponseBytes;
   std::ignore = http::Fetch(
     m_client,
     engine.m_record.m_address,
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -70,6 +70,19 @@
     }
   }
 
+  void Mebibytes(std::string_view aKey, std::size_t& aBytes)
+  {
+    constexpr std::int64_t kMax = 4096;
+    constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
+    if (const auto number = Get<std::int64_t>(aKey, false)) {
+      if (*number < 1 || *number > kMax) {
+        AddFault(aKey, "allowed 1 to 4096");
+      } else {
+        aBytes = static_cast<std::size_t>(*number) * kMebibyte;
+      }
+    }
+  }
+
   void Seconds(std::string_view aKey, Duration& aValue)
   {
     constexpr double kMax = 86400;
@@ -188,6 +201,12 @@
   reader.Milliseconds("timing.lease_ms", settings.m_leaseTime);
   reader.Seconds("timing.shutdown_seconds", settings.m_shutdownTime);
   reader.Seconds("timing.job_retention_seconds", settings.m_jobRetention);
+  ResponseLimits& limits = settings.m_responseLimits;
+  reader.Mebibytes("limits.response_mb", limits.m_responseBytes);
+  reader.Mebibytes("limits.received_mb", limits.m_receivedBytes);
+  if (limits.m_receivedBytes < limits.m_responseBytes) {
+    reader.AddFault("limits.received_mb", "less than limits.response_mb");
+  }
   if (settings.m_role == InstanceRole::Store) {
     ReadStore(reader, settings);
   } else {
@@ -230,6 +249,7 @@
   compare(restart, "timing.shutdown_seconds", &FleetSettings::m_shutdownTime);
   compare(
     restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
+  compare(restart, "limits", &FleetSettings::m_responseLimits);
   return change;
 }
 
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/memory_limits.hpp"
 #include "auburntrestle/observe/log.hpp"
 
 #include <tl/expected.hpp>
@@ -53,6 +54,8 @@
   Duration m_leaseTime = std::chrono::seconds(3);
   Duration m_shutdownTime = std::chrono::seconds(8);
   Duration m_jobRetention = std::chrono::seconds(120);
+  /** Limits on responses of backend servers. */
+  ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
 };
 
 /** One fault of a settings file. */
--- a/src/auburntrestle/fleet/item_transcript.cpp
+++ b/src/auburntrestle/fleet/item_transcript.cpp
@@ -19,8 +19,21 @@
 
 } // namespace
 
-ItemTranscript::ItemTranscript(std::string aVersionField)
+std::string_view ToString(TranscriptFault aFault) noexcept
+{
+  switch (aFault) {
+    case TranscriptFault::OutOfOrder:
+      return "events_out_of_order";
+    case TranscriptFault::TooLarge:
+      return "output_too_large";
+  }
+  return "unknown";
+}
+
+ItemTranscript::ItemTranscript(std::string aVersionField,
+                               TranscriptLimits aLimits)
   : m_versionField(std::move(aVersionField))
+  , m_limits(aLimits)
 {
 }
 
@@ -33,13 +46,26 @@
   m_hasData = false;
 }
 
-std::optional<std::size_t> ItemTranscript::Feed(std::string_view aBytes)
+bool ItemTranscript::IsWithinLimits() const noexcept
+{
+  return m_line.size() + m_data.size() <= m_limits.m_eventBytes &&
+         m_output.size() <= m_limits.m_outputBytes;
+}
+
+tl::expected<std::size_t, TranscriptFault> ItemTranscript::Feed(
+  std::string_view aBytes)
 {
   const std::size_t before = m_events;
   while (!aBytes.empty()) {
     const auto end = aBytes.find('\n');
     if (end == std::string_view::npos) {
       m_line.append(aBytes);
+      aBytes = {};
+    }
+    if (!IsWithinLimits()) {
+      return tl::make_unexpected(TranscriptFault::TooLarge);
+    }
+    if (aBytes.empty()) {
       break;
     }
     m_line.append(aBytes.substr(0, end));
@@ -49,7 +75,7 @@
     }
     const std::string line = std::exchange(m_line, {});
     if (!ParseLine(line)) {
-      return std::nullopt;
+      return tl::make_unexpected(TranscriptFault::OutOfOrder);
     }
   }
   return m_events - before;
--- a/src/auburntrestle/fleet/item_transcript.hpp
+++ b/src/auburntrestle/fleet/item_transcript.hpp
@@ -4,6 +4,8 @@
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/fleet/job.hpp"
 
+#include <tl/expected.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -14,6 +16,28 @@
 
 namespace auburntrestle::fleet {
 
+/** Why the stream of a run cannot become part of the output. */
+enum class TranscriptFault : std::uint8_t
+{
+  /** An event is missing or repeated, or the bytes are not events. */
+  OutOfOrder,
+  /** An event or the whole output exceeds its limit. */
+  TooLarge,
+};
+
+/** @return the stable name of a fault, such as "output_too_large". */
+[[nodiscard]] std::string_view ToString(TranscriptFault aFault) noexcept;
+
+/** Size limits of an ItemTranscript; an engine in trouble may send without end.
+ */
+struct TranscriptLimits
+{
+  /** Maximum bytes of one event. */
+  std::size_t m_eventBytes = std::size_t{ 1024 } * 1024;
+  /** Maximum bytes of the output of an item. */
+  std::size_t m_outputBytes = std::size_t{ 8 } * 1024 * 1024;
+};
+
 /**
  * Collects the output of an item from the event streams of one or more runs.
  * Only events that arrive completely and in order become part of the output.
@@ -25,7 +49,8 @@
    * @param aVersionField name of the event field that announces a change of
    *   the weight version, in lower case.
    */
-  explicit ItemTranscript(std::string aVersionField);
+  explicit ItemTranscript(std::string aVersionField,
+                          TranscriptLimits aLimits = {});
 
   /**
    * Begins a run that continues after LastEvent().
@@ -37,10 +62,10 @@
   /**
    * Parses the next bytes of the run.
    *
-   * @return the number of events that they completed, or nothing if the stream
-   *   skips or repeats an event or is malformed.
+   * @return the number of events that they completed, or why the run must end.
    */
-  [[nodiscard]] std::optional<std::size_t> Feed(std::string_view aBytes);
+  [[nodiscard]] tl::expected<std::size_t, TranscriptFault> Feed(
+    std::string_view aBytes);
 
   /** @return whether the last event of the run is incomplete. */
   [[nodiscard]] bool IsInsideEvent() const noexcept;
@@ -68,9 +93,11 @@
 
 private:
   [[nodiscard]] bool ParseLine(std::string_view aLine);
+  [[nodiscard]] bool IsWithinLimits() const noexcept;
   [[nodiscard]] bool FinishEvent();
 
   std::string m_versionField;
+  TranscriptLimits m_limits;
   std::optional<std::uint64_t> m_lastEvent;
   std::string m_output;
   std::size_t m_events = 0;
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -227,9 +227,7 @@
     if (requirements.m_onlyVersion) {
       // No engine has the version of the partial output any more, so the item
       // starts again.
-      aItem->m_transcript.Clear();
-      aItem->m_recordedEvent.reset();
-      aItem->m_recordedBytes = 0;
+      DiscardOutput(*aItem);
     }
     return false;
   }
@@ -310,7 +308,11 @@
   const TimePoint now = MonotonicClock::Now();
   const auto events = aItem->m_transcript.Feed(aBody);
   if (!events) {
-    AbortRun(aItem, "events_out_of_order");
+    if (events.error() == TranscriptFault::TooLarge) {
+      // The output so far is useless: it would only grow further.
+      DiscardOutput(*aItem);
+    }
+    AbortRun(aItem, ToString(events.error()));
     return;
   }
   if (*events > 0) {
@@ -384,6 +386,13 @@
   }
 }
 
+void JobRunner::DiscardOutput(Item& aItem)
+{
+  aItem.m_transcript.Clear();
+  aItem.m_recordedEvent.reset();
+  aItem.m_recordedBytes = 0;
+}
+
 void JobRunner::EndRun(Item& aItem)
 {
   if (!aItem.m_engine) {
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -98,6 +98,8 @@
   void OnDone(const ItemPtr& aItem,
               tl::expected<void, http::CallFailure> aResult);
   void OnFailedAttempt(const ItemPtr& aItem, int aStatus);
+  /** Discards the partial output, so that it is generated from the start. */
+  static void DiscardOutput(Item& aItem);
   void EndRun(Item& aItem);
   /** Ends a run that cannot continue, and queues the item again. */
   void AbortRun(const ItemPtr& aItem, std::string_view aReason);
--- a/src/auburntrestle/fleet/reward_caller.cpp
+++ b/src/auburntrestle/fleet/reward_caller.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(20);
 /** A call whose route is missing waits for a new configuration. */
 constexpr Duration kRouteRetryDelay = std::chrono::milliseconds(500);
+/** Only the head of a response matters. */
+constexpr std::size_t kMaxResponseBytes = std::size_t{ 1024 } * 1024;
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(10);
 
 } // namespace
@@ -235,6 +237,7 @@
   const Duration left(aCall->m_task.m_expiresAt - WallNow());
   http::CallOptions options;
   options.m_timeout = std::max(kMinTimeLeft, std::min(left, aRoute.m_timeout));
+  options.m_maxResponseBytes = kMaxResponseBytes;
   auto attempt = std::make_shared<Attempt>();
   attempt->m_backend = aBackend.m_id;
   attempt->m_sentAt = MonotonicClock::Now();
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -28,6 +28,9 @@
 shutdown_seconds = 4.5
 [logging]
 level = "debug"
+[limits]
+response_mb = 8
+received_mb = 24
 )";
 
 TEST(FleetSettingsTest, ReadsAllKeysOfAStore)
@@ -42,6 +45,9 @@
   EXPECT_EQ(settings->m_leaseTime, std::chrono::milliseconds(2500));
   EXPECT_EQ(settings->m_shutdownTime, std::chrono::milliseconds(4500));
   EXPECT_EQ(settings->m_logLevel, observe::LogLevel::Debug);
+  constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
+  EXPECT_EQ(settings->m_responseLimits,
+            (ResponseLimits{ 8 * kMebibyte, 24 * kMebibyte }));
 }
 
 struct FaultCase
@@ -79,6 +85,8 @@
     FaultCase{ "lease_ms = 2500", "lease_ms = -1", "timing.lease_ms" },
     FaultCase{ "losses = 2", "losses = 9", "log.tolerated_losses" },
     FaultCase{ "\"debug\"", "\"loud\"", "logging.level" },
+    FaultCase{ "response_mb = 8", "response_mb = 0", "limits.response_mb" },
+    FaultCase{ "received_mb = 24", "received_mb = 7", "limits.received_mb" },
     FaultCase{ "[listen]", "[listen", "" }));
 
 TEST(FleetSettingsTest, ReportsAllFaultsAtOnce)
@@ -131,6 +139,7 @@
     ChangeCase{ "2500", "2600", "", "timing.lease_ms" },
     ChangeCase{ "\"/data\"", "\"/other\"", "", "log.data_folder" },
     ChangeCase{ "losses = 2", "losses = 1", "", "log.tolerated_losses" },
+    ChangeCase{ "received_mb = 24", "received_mb = 32", "", "limits" },
     ChangeCase{ "store-1", "store-2", "", "instance.machine" }));
 
 } // namespace
--- a/test/auburntrestle/fleet/item_transcript_test.cpp
+++ b/test/auburntrestle/fleet/item_transcript_test.cpp
@@ -81,5 +81,53 @@
   EXPECT_FALSE(transcript.ToPartialOutput());
 }
 
+struct LimitCase
+{
+  std::string m_name;
+  std::string m_start;
+  std::string m_repeated;
+};
+
+class TranscriptLimitTest : public testing::TestWithParam<LimitCase>
+{};
+
+// Guards against an engine in trouble that sends without end.
+TEST_P(TranscriptLimitTest, EndsTheRun)
+{
+  constexpr std::size_t kPieces = 10'000;
+  ItemTranscript transcript(kVersionField, { 1000, 4000 });
+  transcript.BeginRun(WeightVersion(1));
+  auto result = transcript.Feed(GetParam().m_start);
+  for (std::size_t piece = 0; piece < kPieces && result; ++piece) {
+    result = transcript.Feed(GetParam().m_repeated);
+  }
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error(), TranscriptFault::TooLarge);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Streams,
+  TranscriptLimitTest,
+  testing::Values(LimitCase{ "line", "id: 1\ndata: ", "bytes" },
+                  LimitCase{ "data_lines", "id: 1\n", "data: bytes\n" },
+                  LimitCase{ "comment", "", ": bytes" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+TEST(TranscriptOutputLimitTest, EndsTheRun)
+{
+  constexpr int kMaxEvents = 10'000;
+  ItemTranscript transcript(kVersionField, { 1000, 4000 });
+  transcript.BeginRun(WeightVersion(1));
+  int event = 0;
+  tl::expected<std::size_t, TranscriptFault> result = 0;
+  while (result && event < kMaxEvents) {
+    ++event;
+    result =
+      transcript.Feed("id: " + std::to_string(event) + "\ndata: bytes\n\n");
+  }
+  ASSERT_FALSE(result);
+  EXPECT_EQ(result.error(), TranscriptFault::TooLarge);
+}
+
 } // namespace
 } // namespace auburntrestle::fleet
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -195,5 +196,117 @@
   EXPECT_FALSE(called);
 }
 
+struct EndlessCase
+{
+  std::string m_name;
+  std::string m_start;
+  std::string m_repeated;
+  CallFailure m_failure = CallFailure::TooLarge;
+};
+
+class EndlessResponseTest
+  : public ClientTest
+  , public testing::WithParamInterface<EndlessCase>
+{
+protected:
+  static constexpr std::size_t kMaxResponseBytes = std::size_t{ 256 } * 1024;
+
+  EndlessResponseTest() { m_options.m_maxResponseBytes = kMaxResponseBytes; }
+
+  ClientOptions m_options;
+};
+
+// Guards against a server in trouble that sends without end: its response must
+// not fill the memory until the time limit.
+TEST_P(EndlessResponseTest, EndsInAFailureAndAClosedConnection)
+{
+  RawServer server(m_loop, [started = false](RawPeer& aPeer) mutable {
+    if (!std::exchange(started, true)) {
+      aPeer.Send(GetParam().m_start);
+      aPeer.SendForever(GetParam().m_repeated);
+    }
+  });
+  Client client(m_loop, m_options);
+  Request request;
+  request.m_method = "GET";
+  request.m_target = "/";
+  std::optional<FetchResult> response;
+  std::size_t received = 0;
+  const auto call =
+    Fetch(client, server.Address(), request, {}, [&](FetchResult aResponse) {
+      response = std::move(aResponse);
+    });
+  RunUntil(m_loop, [&] {
+    received = std::max(received, client.ReceivedBytes());
+    return response.has_value();
+  });
+  ASSERT_FALSE(*response);
+  EXPECT_EQ(response->error(), GetParam().m_failure);
+  EXPECT_LE(received, kMaxResponseBytes);
+  EXPECT_EQ(client.ReceivedBytes(), 0U);
+  RunUntil(m_loop, [&] { return server.Peer(0).IsClosed(); });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  EndlessResponseTest,
+  testing::Values(
+    EndlessCase{ "status_line", "HTTP/1.1 200 ", "O", CallFailure::Malformed },
+    EndlessCase{ "header_line",
+                 "HTTP/1.1 200 OK\r\nName: ",
+                 "value",
+                 CallFailure::Malformed },
+    EndlessCase{ "header_fields",
+                 "HTTP/1.1 200 OK\r\n",
+                 "Name: value\r\n",
+                 CallFailure::Malformed },
+    EndlessCase{ "interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    EndlessCase{ "body_without_length", "HTTP/1.1 200 OK\r\n\r\n", "bytes" },
+    EndlessCase{ "body_with_length",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                 "bytes" },
+    EndlessCase{ "chunks",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                 "5\r\nbytes\r\n" },
+    EndlessCase{ "chunk_extension",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5",
+                 ";name=value",
+                 CallFailure::Malformed },
+    EndlessCase{ "trailers",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                 "Name: value\r\n",
+                 CallFailure::Malformed }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against many servers in trouble at once, each within its limit.
+TEST_F(ClientTest, AllResponsesTogetherStayWithinTheirLimit)
+{
+  constexpr std::size_t kServers = 8;
+  constexpr std::size_t kMaxReceivedBytes = std::size_t{ 512 } * 1024;
+  const std::string piece(std::size_t{ 4 } * 1024, 'x');
+  RawServer server(m_loop, [&piece](RawPeer& aPeer) {
+    aPeer.Send("HTTP/1.1 200 OK\r\n\r\n");
+    aPeer.SendForever(piece);
+  });
+  ClientOptions options;
+  options.m_maxReceivedBytes = kMaxReceivedBytes;
+  Client client(m_loop, options);
+  Request request;
+  request.m_method = "GET";
+  request.m_target = "/";
+  std::size_t failed = 0;
+  for (std::size_t count = 0; count < kServers; ++count) {
+    std::ignore =
+      Fetch(client, server.Address(), request, {}, [&](FetchResult aResponse) {
+        EXPECT_EQ(aResponse.error(), CallFailure::TooLarge);
+        ++failed;
+      });
+  }
+  RunUntil(m_loop, [&] {
+    EXPECT_LE(client.ReceivedBytes(), kMaxReceivedBytes);
+    return failed == kServers;
+  });
+}
+
 } // namespace
 } // namespace auburntrestle::http
--- a/test/auburntrestle/http/raw_peer.hpp
+++ b/test/auburntrestle/http/raw_peer.hpp
@@ -67,6 +67,22 @@
     asio::write(m_socket, asio::buffer(aBytes), ignored);
   }
 
+  /** Sends bytes again and again until the other end closes. */
+  void SendForever(const std::string& aBytes)
+  {
+    asio::async_write(m_socket,
+                      asio::buffer(aBytes),
+                      [self = shared_from_this(), aBytes](
+                        const asio::error_code& aError, std::size_t aSent) {
+                        self->m_sent += aSent;
+                        if (aError) {
+                          self->m_closed = true;
+                        } else {
+                          self->SendForever(aBytes);
+                        }
+                      });
+  }
+
   void Close()
   {
     asio::error_code ignored;
@@ -83,6 +99,8 @@
 
   [[nodiscard]] const std::string& Received() const { return m_received; }
   [[nodiscard]] bool IsClosed() const { return m_closed; }
+  /** @return the bytes that SendForever has sent. */
+  [[nodiscard]] std::size_t Sent() const { return m_sent; }
 
 private:
   static constexpr std::size_t kReadBytes = 4096;
@@ -90,6 +108,7 @@
   tcp::socket m_socket;
   std::array<char, kReadBytes> m_buffer{};
   std::string m_received;
+  std::size_t m_sent = 0;
   std::function<void(RawPeer&)> m_onBytes;
   bool m_closed = false;
 };
