Load the least covered model first when more loads are due than may run

Change: loads are ranked by how well the model is served (homes with an accepted version, and with the newest), then by lag and running items. The test fails on the code before: the first loads left seven of eight models without an engine.

--- a/src/auburntrestle/fleet/weight_rollout.cpp
+++ b/src/auburntrestle/fleet/weight_rollout.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/weight_rollout.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace auburntrestle::fleet {
 
@@ -47,8 +48,23 @@
 struct Progress
 {
   std::size_t m_homes = 0;
+  /** Homes that have or load a version that jobs accept. */
+  std::size_t m_usable = 0;
   /** Homes that have or load the newest version. */
   std::size_t m_current = 0;
+
+  /** @return how well the model is served, 0 to 2. */
+  [[nodiscard]] double Coverage() const
+  {
+    return static_cast<double>(m_usable + m_current) /
+           static_cast<double>(std::max<std::size_t>(m_homes, 1));
+  }
+  /** @return whether a home that is aLag versions behind needs the newest one:
+   * half of the homes load each version, and all that jobs do not accept. */
+  [[nodiscard]] bool Needs(std::uint64_t aLag) const
+  {
+    return aLag > kAcceptedLag || m_current * 2 < m_homes;
+  }
 };
 
 /** A load that may be started. */
@@ -59,11 +75,35 @@
   WeightLoad m_load;
 };
 
-bool IsMoreUrgent(const Candidate& aLeft, const Candidate& aRight)
+/** Orders loads by urgency. When more loads are due than may run at a time,
+ * such as after an outage, the models that the fewest engines serve go first,
+ * so that every trainer gets some engines soon. */
+class ByUrgency
 {
-  return aLeft.m_lag != aRight.m_lag ? aLeft.m_lag > aRight.m_lag
-                                     : aLeft.m_running < aRight.m_running;
-}
+public:
+  explicit ByUrgency(const std::map<ModelName, Progress>& aProgress)
+    : m_progress(aProgress)
+  {
+  }
+
+  [[nodiscard]] bool operator()(const Candidate& aLeft,
+                                const Candidate& aRight) const
+  {
+    return RankOf(aLeft) < RankOf(aRight);
+  }
+
+private:
+  using Rank = std::tuple<double, std::uint64_t, std::uint32_t>;
+
+  [[nodiscard]] Rank RankOf(const Candidate& aCandidate) const
+  {
+    const double coverage = m_progress.at(aCandidate.m_load.m_model).Coverage();
+    // A larger lag is more urgent.
+    return { coverage, ~aCandidate.m_lag, aCandidate.m_running };
+  }
+
+  const std::map<ModelName, Progress>& m_progress;
+};
 
 } // namespace
 
@@ -148,35 +188,46 @@
     ++engines;
     loading += engine.m_loading ? 1 : 0;
     for (const auto& model : homes->second) {
-      ++progress[model].m_homes;
+      Progress& state = progress[model];
+      ++state.m_homes;
       const auto newest = aNewest.find(model);
       const auto held = engine.m_versions.find(model);
       if (newest == aNewest.end() || held == engine.m_versions.end()) {
         continue;
       }
       if (held->second >= newest->second || engine.m_loading == model) {
-        ++progress[model].m_current;
-      } else if (engine.m_ready && !engine.m_loading) {
-        candidates.push_back({ newest->second.Get() - held->second.Get(),
-                               engine.m_running,
-                               WeightLoad{ id, model, newest->second } });
+        ++state.m_current;
+        ++state.m_usable;
+        continue;
+      }
+      const std::uint64_t lag = newest->second.Get() - held->second.Get();
+      state.m_usable += lag <= kAcceptedLag ? 1 : 0;
+      if (engine.m_ready && !engine.m_loading) {
+        candidates.push_back(
+          { lag, engine.m_running, WeightLoad{ id, model, newest->second } });
       }
     }
   }
-  std::stable_sort(candidates.begin(), candidates.end(), IsMoreUrgent);
   const std::size_t limit =
     std::max(engines / kEnginesPerLoad, kMinParallelLoads);
-  std::set<BackendId> chosen;
-  for (const auto& candidate : candidates) {
-    auto& [homes, current] = progress[candidate.m_load.m_model];
-    const bool required = candidate.m_lag > kAcceptedLag;
-    const bool fillsHalf = current * 2 < homes;
-    if (loading < limit && (required || fillsHalf) &&
-        chosen.insert(candidate.m_load.m_engine).second) {
-      aLoads.push_back(candidate.m_load);
-      ++loading;
-      ++current;
+  while (loading < limit) {
+    std::erase_if(candidates, [&](const Candidate& aCandidate) {
+      return !progress[aCandidate.m_load.m_model].Needs(aCandidate.m_lag);
+    });
+    const auto next = std::min_element(
+      candidates.begin(), candidates.end(), ByUrgency(progress));
+    if (next == candidates.end()) {
+      return;
     }
+    const WeightLoad load = next->m_load;
+    Progress& state = progress[load.m_model];
+    ++state.m_current;
+    state.m_usable += next->m_lag > kAcceptedLag ? 1 : 0;
+    ++loading;
+    aLoads.push_back(load);
+    std::erase_if(candidates, [&](const Candidate& aCandidate) {
+      return aCandidate.m_load.m_engine == load.m_engine;
+    });
   }
 }
 
--- a/test/auburntrestle/fleet/placement_test.cpp
+++ b/test/auburntrestle/fleet/placement_test.cpp
@@ -249,5 +249,26 @@
   EXPECT_LE(loads, kVersions * kEngines);
 }
 
+// The load: after an outage of a large fleet, all engines are too old for every
+// trainer. Guards against a model whose trainer waits while another model is
+// loaded everywhere.
+TEST_F(RolloutTest, EveryModelGetsEnginesSoonAfterAnOutage)
+{
+  constexpr std::size_t kEngines = 97;
+  const std::set<std::string> models{ "a", "b", "c", "d", "e", "f", "g", "h" };
+  AddEngines(kEngines, models);
+  std::uint64_t version = 3;
+  for (const auto& model : models) {
+    m_newest[ModelName(model)] = WeightVersion(++version);
+  }
+  std::map<ModelName, std::size_t> loads;
+  for (const auto& load : Plan()) {
+    ++loads[load.m_model];
+  }
+  for (const auto& model : models) {
+    EXPECT_GE(loads[ModelName(model)], 2U) << model;
+  }
+}
+
 } // namespace
 } // namespace auburntrestle::fleet
