--- a/src/auburntrestle/backend/http_client.cpp
+++ b/src/auburntrestle/backend/http_client.cpp
@@ -17,6 +17,9 @@
 
 constexpr int kPollTimeoutMs = 1000;
 constexpr long kMaxCachedConnections = 512;
+/** Returned by a data callback: a number of bytes other than the one received
+ * ends the transfer. */
+constexpr std::size_t kAbortTransfer = 0;
 
 struct EasyDeleter
 {
@@ -36,9 +39,22 @@
   CallResult m_result;
   bool m_headersReported = false;
   bool m_responseStarted = false;
+  std::size_t m_receivedBytes = 0;
   std::unique_ptr<curl_slist, HeaderListDeleter> m_headerList;
   std::unique_ptr<CURL, EasyDeleter> m_easy;
 
+  /** Adds received bytes. @return whether the response is within its limit. */
+  [[nodiscard]] bool CountReceived(std::size_t aBytes)
+  {
+    m_receivedBytes += aBytes;
+    return IsWithinLimit();
+  }
+
+  [[nodiscard]] bool IsWithinLimit() const noexcept
+  {
+    return m_receivedBytes <= m_call.m_maxResponseBytes;
+  }
+
   void ReportHeaders()
   {
     if (m_headersReported) {
@@ -57,6 +73,9 @@
 std::size_t OnBody(char* aData, std::size_t, std::size_t aSize, void* aTransfer)
 {
   auto* transfer = static_cast<Transfer*>(aTransfer);
+  if (!transfer->CountReceived(aSize)) {
+    return kAbortTransfer;
+  }
   transfer->ReportHeaders();
   if (transfer->m_handlers.m_onData) {
     transfer->m_handlers.m_onData(std::string(aData, aSize));
@@ -92,6 +111,9 @@
   auto* transfer = static_cast<Transfer*>(aTransfer);
   const std::string_view line(aData, aSize);
   transfer->m_responseStarted = true;
+  if (!transfer->CountReceived(aSize)) {
+    return kAbortTransfer;
+  }
   if (line == "\r\n") {
     long status = 0;
     curl_easy_getinfo(transfer->m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -109,6 +131,9 @@
   if (aCode == CURLE_OK) {
     return CallStatus::Complete;
   }
+  if (!aTransfer.IsWithinLimit()) {
+    return CallStatus::TooLarge;
+  }
   // A request certainly did not run only if none of its bytes were written; the
   // error code alone does not prove it.
   long sent = 0;
--- a/src/auburntrestle/backend/http_client.hpp
+++ b/src/auburntrestle/backend/http_client.hpp
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +32,8 @@
   LostMidResponse,
   /** The time limit of the call expired. */
   TimedOut,
+  /** The response exceeds the limit of the call; it was cut off. */
+  TooLarge,
 };
 
 /** A call to a backend server or another instance. */
@@ -43,6 +46,9 @@
   std::chrono::milliseconds m_connectTimeout{ 1000 };
   /** Limit of the complete call; zero for none. */
   std::chrono::milliseconds m_timeout{ 0 };
+  /** Maximum bytes of the response, head and body together. A server in trouble
+   * may send without end. */
+  std::size_t m_maxResponseBytes = std::size_t{ 64 } * 1024 * 1024;
   /**
    * Uses a new connection. On a cached connection that the server has closed
    * the library may send the request a second time, which is not allowed for
--- a/src/auburntrestle/daemon/edge_relay.cpp
+++ b/src/auburntrestle/daemon/edge_relay.cpp
@@ -395,6 +395,7 @@
     case backend::CallStatus::LostBeforeResponse:
     case backend::CallStatus::LostMidResponse:
     case backend::CallStatus::TimedOut:
+    case backend::CallStatus::TooLarge:
       break;
   }
   RetryOnOtherInstance(
--- a/src/auburntrestle/daemon/request_relay.cpp
+++ b/src/auburntrestle/daemon/request_relay.cpp
@@ -49,6 +49,7 @@
     case backend::CallStatus::TimedOut:
       return routing::AttemptFailure::TimedOut;
     case backend::CallStatus::LostMidResponse:
+    case backend::CallStatus::TooLarge:
     case backend::CallStatus::Complete:
       break;
   }
--- a/src/auburntrestle/fleet/job_runner_rewards.cpp
+++ b/src/auburntrestle/fleet/job_runner_rewards.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Limits the attempts of a reward call whose job has no route at present. */
+/** The lifetime of an item, for its reward call, while its job has no route. */
 constexpr Duration kLifetimeWithoutRoute = std::chrono::seconds(10);
 
 } // namespace
--- a/src/auburntrestle/operator_client/request_sender.cpp
+++ b/src/auburntrestle/operator_client/request_sender.cpp
@@ -98,6 +98,8 @@
       return "connection lost within the answer";
     case backend::CallStatus::TimedOut:
       return "no answer within the time limit";
+    case backend::CallStatus::TooLarge:
+      return "answer too large";
     case backend::CallStatus::Complete:
       break;
   }
--- a/tools/fake_service/main.cpp
+++ b/tools/fake_service/main.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <set>
+#include <string>
 
 DEFINE_int32(port, 0, "port on 127.0.0.1; 0 picks a free one");
 DEFINE_uint64(seed, 1, "seed of the delays and failures");
@@ -26,6 +28,13 @@
 DEFINE_double(lose_answer,
               0.0,
               "probability of a cut connection after the call has run");
+DEFINE_string(fail_keys,
+              "",
+              "comma-separated idempotency keys whose calls always fail");
+DEFINE_double(no_score, 0.0, "probability of a response without a score");
+DEFINE_double(endless,
+              0.0,
+              "probability of a response that goes on until the caller closes");
 DEFINE_bool(refuse, false, "refuse calls without running them");
 DEFINE_int32(leave_linger_ms, 500, "time between SIGTERM and the end");
 
@@ -43,6 +52,7 @@
     : m_server(aServer)
     , m_random(FLAGS_seed)
     , m_refuse(FLAGS_refuse)
+    , m_failKeys(SplitKeys())
     , m_incarnation(FLAGS_incarnation != 0 ? FLAGS_incarnation
                                            : IncarnationFromClock())
   {
@@ -96,6 +106,12 @@
     std::uint64_t m_finished = 0;
   };
 
+  [[nodiscard]] static std::set<std::string> SplitKeys()
+  {
+    const auto keys = SplitList(FLAGS_fail_keys);
+    return { keys.begin(), keys.end() };
+  }
+
   void HandleRefuse(const HttpExchangePtr& aExchange)
   {
     const json body = json::parse(aExchange->Request().m_body, nullptr, false);
@@ -134,7 +150,12 @@
       aExchange->Abort();
       return;
     }
-    if (m_random.Chance(FLAGS_failure)) {
+    if (m_random.Chance(FLAGS_endless)) {
+      aExchange->BeginStream(200, "application/json", {});
+      SendEndlessly(aExchange);
+      return;
+    }
+    if (m_failKeys.contains(aKey) || m_random.Chance(FLAGS_failure)) {
       aExchange->SendError(
         500, "failed", "the call failed after it ran", "outcome_unknown");
       return;
@@ -149,10 +170,25 @@
                    { "path", request.m_path },
                    { "key", aKey },
                    { "score", ScoreOf(scored) } };
+    if (m_random.Chance(FLAGS_no_score)) {
+      response.erase("score");
+    }
     response["echo"] = body.is_discarded() ? json(request.m_body) : body;
     aExchange->SendJson(200, response.dump());
   }
 
+  /** Sends chunks until the caller closes its connection. */
+  void SendEndlessly(const HttpExchangePtr& aExchange)
+  {
+    constexpr std::size_t kChunkBytes = std::size_t{ 64 } * 1024;
+    constexpr Duration kInterval = std::chrono::milliseconds(5);
+    if (aExchange->IsClosed()) {
+      return;
+    }
+    aExchange->Write(std::string(kChunkBytes, 'x'));
+    m_server.After(kInterval, [this, aExchange] { SendEndlessly(aExchange); });
+  }
+
   [[nodiscard]] json CallCounts() const
   {
     json calls = json::object();
@@ -168,6 +204,7 @@
   HttpServer& m_server;
   RandomSource m_random;
   bool m_refuse;
+  std::set<std::string> m_failKeys;
   std::uint64_t m_incarnation;
   std::uint16_t m_port = 0;
   bool m_leaving = false;
