--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburntrestle::http {
 namespace {
@@ -177,6 +178,45 @@
   EXPECT_EQ(Call("no address").error(), CallFailure::ConnectFailed);
 }
 
+// Guards against a request that waits for a data centre which is cut off: no
+// packet of the connection is answered there, so only a time limit ends it.
+TEST_F(ClientTest, AConnectionWithoutAnAnswerIsGivenUpSoon)
+{
+  // The kernel drops the packets of new connections to a full listener.
+  test::tcp::acceptor listener(m_loop.Context());
+  listener.open(test::tcp::v4());
+  listener.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+  listener.listen(0);
+  const auto endpoint = listener.local_endpoint();
+  constexpr int kFillers = 4;
+  std::vector<test::tcp::socket> fillers;
+  for (int filler = 0; filler < kFillers; ++filler) {
+    fillers.emplace_back(m_loop.Context());
+    fillers.back().async_connect(endpoint, [](const asio::error_code&) {});
+  }
+  bool filled = false;
+  m_loop.After(std::chrono::milliseconds(50), [&filled] { filled = true; });
+  RunUntil(m_loop, [&filled] { return filled; });
+
+  Request request;
+  request.m_method = "GET";
+  request.m_target = "/";
+  std::optional<FetchResult> response;
+  const TimePoint started = MonotonicClock::Now();
+  const auto call =
+    Fetch(m_client,
+          "127.0.0.1:" + std::to_string(endpoint.port()),
+          request,
+          {},
+          [&](FetchResult aResponse) { response = std::move(aResponse); });
+  RunUntil(m_loop, [&] { return response.has_value(); });
+  ASSERT_FALSE(*response);
+  EXPECT_EQ(response->error(), CallFailure::ConnectFailed);
+  // As long as the kernel repeats the first packet after a second, a longer
+  // limit does not help.
+  EXPECT_LT(MonotonicClock::Now() - started, std::chrono::seconds(1));
+}
+
 TEST_F(ClientTest, ACancelledCallClosesItsConnection)
 {
   RawServer server(m_loop, [](RawPeer&) {});
