--- a/test/auburntrestle/fleet/reward_load_test.cpp
+++ b/test/auburntrestle/fleet/reward_load_test.cpp
@@ -116,7 +116,7 @@
     Server& server = m_servers.at(aId);
     auto start = [this, &server, aWork, done = std::move(aDone)] {
       ++server.m_running;
-      At(m_now + aWork, [this, &server, done] {
+      At(m_now + aWork, [&server, done] {
         --server.m_running;
         if (!server.m_queue.empty()) {
           const auto next = std::move(server.m_queue.front());
