Log control calls that fail, and how long routes were not confirmed

A failed heartbeat, removal, publication or retirement left no line, so the report of a publication without acknowledgement could not be told from a leader that is too slow. control_call_failed names the call, the reason and the leader that the store knew. leader_found and leader_lost of an entry instance carry the age of the last confirmation of its routes.

The four calls shared their code in copies; ProposeControl is the one copy. Not measured: no behaviour changes but the lines.

--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -108,7 +108,9 @@
     view != nullptr && view->m_confirmationAge < kMaxConfirmationAge;
   if (std::exchange(m_connected, connected) != connected) {
     LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost")
-      .Add("relay", aRelay ? aRelay->Get() : "none");
+      .Add("relay", aRelay ? aRelay->Get() : "none")
+      .Add("unconfirmed_us",
+           (MonotonicClock::Now() - m_routesConfirmedAt).count());
   }
   if (aRelay && connected) {
     m_relays.RecordSuccess(*aRelay);
--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -17,6 +17,17 @@
 
 } // namespace
 
+std::string_view ToString(LinkError aError) noexcept
+{
+  switch (aError) {
+    case LinkError::NotRun:
+      return "not_run";
+    case LinkError::OutcomeUnknown:
+      return "outcome_unknown";
+  }
+  return "unknown";
+}
+
 struct LeaderLink::Pending
 {
   protocol::Method m_method;
--- a/src/auburntrestle/fleet/leader_link.hpp
+++ b/src/auburntrestle/fleet/leader_link.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburntrestle::fleet {
@@ -26,6 +27,9 @@
   OutcomeUnknown,
 };
 
+/** @return the stable name of an error. */
+[[nodiscard]] std::string_view ToString(LinkError aError) noexcept;
+
 /** Access to the replica of the same process, for requests that this instance
  * can run itself as the leader. */
 struct LocalLeader
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace auburntrestle::fleet {
 
@@ -100,6 +101,12 @@
   /** @return the leader known to the replica, or named by a recent notice. */
   [[nodiscard]] std::optional<InstanceId> KnownLeader() const;
 
+  /** Proposes the command of a control call, and logs a failure.
+   * @param aCall the kind of call, for the log; must be a literal. */
+  void ProposeControl(const Command& aCommand,
+                      std::string_view aCall,
+                      OutcomeCallback aCallback);
+
   // Proposals and calls of peers.
   /** @return whether a command announces what the state has already, which
    * needs no log entry. Instances that are not members of the log announce
--- a/src/auburntrestle/fleet/store_service_control.cpp
+++ b/src/auburntrestle/fleet/store_service_control.cpp
@@ -34,6 +34,30 @@
 
 } // namespace
 
+void StoreService::ProposeControl(const Command& aCommand,
+                                  std::string_view aCall,
+                                  OutcomeCallback aCallback)
+{
+  m_link->Propose(aCommand,
+                  kControlTimeout,
+                  [this,
+                   aCall,
+                   startedAt = MonotonicClock::Now(),
+                   callback = std::move(aCallback)](
+                    const tl::expected<CommandResult, LinkError>& aResult) {
+                    if (!aResult) {
+                      const auto leader = KnownLeader();
+                      LogLine(LogLevel::Warning, "control_call_failed")
+                        .Add("call", aCall)
+                        .Add("reason", ToString(aResult.error()))
+                        .Add("leader", leader ? leader->Get() : "none")
+                        .Add("took_us",
+                             (MonotonicClock::Now() - startedAt).count());
+                    }
+                    callback(OutcomeOf(aResult));
+                  });
+}
+
 void StoreService::PutConfiguration(const std::string& aDocument,
                                     OutcomeCallback aCallback)
 {
@@ -46,15 +70,15 @@
     return;
   }
   const auto version = table->Configuration().m_version;
-  m_link->Propose(fleet::PutConfiguration{ version, aDocument },
-                  kControlTimeout,
-                  [version, callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    LogLine(LogLevel::Info, "configuration_put")
-                      .Add("version", version)
-                      .Add("acknowledged", aResult.has_value());
-                    callback(OutcomeOf(aResult));
-                  });
+  ProposeControl(
+    fleet::PutConfiguration{ version, aDocument },
+    "configuration",
+    [version, callback = std::move(aCallback)](ControlOutcome aOutcome) {
+      LogLine(LogLevel::Info, "configuration_put")
+        .Add("version", version)
+        .Add("acknowledged", aOutcome == ControlOutcome::Done);
+      callback(aOutcome);
+    });
 }
 
 void StoreService::GetConfiguration(
@@ -80,34 +104,22 @@
     aCallback(ControlOutcome::Done);
     return;
   }
-  m_link->Propose(AnnounceBackend{ aRecord },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
+  ProposeControl(AnnounceBackend{ aRecord }, "heartbeat", std::move(aCallback));
 }
 
 void StoreService::Remove(const BackendId& aId, OutcomeCallback aCallback)
 {
-  m_link->Propose(RemoveBackend{ aId, Incarnation() },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
+  ProposeControl(
+    RemoveBackend{ aId, Incarnation() }, "removal", std::move(aCallback));
 }
 
 void StoreService::PublishWeights(const ModelName& aModel,
                                   WeightVersion aVersion,
                                   OutcomeCallback aCallback)
 {
-  m_link->Propose(fleet::PublishWeights{ aModel, aVersion },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
+  ProposeControl(fleet::PublishWeights{ aModel, aVersion },
+                 "publication",
+                 std::move(aCallback));
 }
 
 void StoreService::Retire(const std::string& aMachine,
@@ -115,12 +127,8 @@
 {
   const auto minRemaining =
     static_cast<std::uint32_t>(2 * m_store.m_toleratedLosses + 1);
-  m_link->Propose(RetireMember{ aMachine, minRemaining },
-                  kControlTimeout,
-                  [callback = std::move(aCallback)](
-                    const tl::expected<CommandResult, LinkError>& aResult) {
-                    callback(OutcomeOf(aResult));
-                  });
+  ProposeControl(
+    RetireMember{ aMachine, minRemaining }, "retirement", std::move(aCallback));
 }
 
 void StoreService::GetRetirement(
