Decide about Watches of entry instances in a class without network

EntryService decided itself whom to ask next, so that a play of relays that do not reply needed processes. WatchScheduler takes the time as an argument and returns the Watches to be sent. No change of behaviour: one Watch at a time, 50 ms after a failure. Tests of package fleet pass.

--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -23,7 +23,6 @@
 /** A relay whose last confirmation by the leader is older is replaced by
  * another. */
 constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
-constexpr Duration kWatchRetryDelay = std::chrono::milliseconds(50);
 /** Routes that were not confirmed for this long may be out of date. */
 constexpr Duration kMaxRoutesAge = std::chrono::milliseconds(1500);
 /** Callers read results about twice a second, and try another instance when a
@@ -48,7 +47,7 @@
             std::move(aHeaders),
             aRelay,
             *m_options.m_instruments)
-  , m_relays(m_options.m_self, m_options.m_dataCentre)
+  , m_watches(m_options.m_self, m_options.m_dataCentre)
 {
 }
 
@@ -81,50 +80,59 @@
   }
   m_transport = std::move(*transport);
   m_link->SetTransport(m_transport.get());
-  WatchDirectory();
+  SendWatches();
   return {};
 }
 
-void EntryService::WatchDirectory()
+void EntryService::SendWatches()
+{
+  for (const auto& request : m_watches.Advance(MonotonicClock::Now())) {
+    SendWatch(request);
+  }
+  const TimePoint next = m_watches.NextDeadline();
+  if (m_watchTimer) {
+    m_loop.Cancel(*std::exchange(m_watchTimer, std::nullopt));
+  }
+  if (next != TimePoint::max()) {
+    m_watchTimer = m_loop.After(next - MonotonicClock::Now(), [this] {
+      m_watchTimer.reset();
+      SendWatches();
+    });
+  }
+}
+
+void EntryService::SendWatch(const WatchRequest& aRequest)
 {
-  const auto relay = m_relays.Select(MonotonicClock::Now());
   auto handle = [this,
-                 relay](const tl::expected<ReplyBody, LinkError>& aReply) {
-    HandleWatchReply(relay, aReply);
+                 aRequest](const tl::expected<ReplyBody, LinkError>& aReply) {
+    HandleWatchReply(aRequest, aReply);
   };
-  if (relay) {
-    m_link->SendQueryTo(*relay, m_watch, kRelayTimeout, std::move(handle));
+  if (aRequest.m_relay) {
+    m_link->SendQueryTo(
+      *aRequest.m_relay, m_watch, kRelayTimeout, std::move(handle));
   } else {
     m_link->SendQuery(m_watch, kWatchTimeout, kMaxWatchWait, std::move(handle));
   }
 }
 
 void EntryService::HandleWatchReply(
-  const std::optional<InstanceId>& aRelay,
+  const WatchRequest& aRequest,
   const tl::expected<ReplyBody, LinkError>& aReply)
 {
   const auto* view = aReply ? std::get_if<DirectoryView>(&*aReply) : nullptr;
-  const bool connected =
+  const bool confirmed =
     view != nullptr && view->m_confirmationAge < kMaxConfirmationAge;
-  if (std::exchange(m_connected, connected) != connected) {
-    LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost")
-      .Add("relay", aRelay ? aRelay->Get() : "none")
+  if (std::exchange(m_connected, confirmed) != confirmed) {
+    LogLine(LogLevel::Info, confirmed ? "leader_found" : "leader_lost")
+      .Add("relay", aRequest.m_relay ? aRequest.m_relay->Get() : "none")
       .Add("unconfirmed_us",
            (MonotonicClock::Now() - m_routesConfirmedAt).count());
   }
-  if (aRelay && connected) {
-    m_relays.RecordSuccess(*aRelay);
-  } else if (aRelay) {
-    m_relays.RecordFailure(*aRelay, MonotonicClock::Now());
-  }
   if (view != nullptr) {
     HandleDirectory(*view);
   }
-  if (connected) {
-    WatchDirectory();
-  } else {
-    m_loop.After(kWatchRetryDelay, [this] { WatchDirectory(); });
-  }
+  m_watches.HandleReply(aRequest, confirmed, MonotonicClock::Now());
+  SendWatches();
 }
 
 void EntryService::HandleDirectory(const DirectoryView& aView)
@@ -151,7 +159,7 @@
       .Add("backends", aView.m_backends->size());
   }
   m_link->SetCandidates(aView.m_members);
-  m_relays.SetRelays(aView.m_relays);
+  m_watches.SetRelays(aView.m_relays);
 }
 
 void EntryService::ApplyConfiguration(const ConfigurationView& aView)
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -6,8 +6,8 @@
 #include "auburntrestle/fleet/backend_chooser.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/leader_link.hpp"
-#include "auburntrestle/fleet/relay_selector.hpp"
 #include "auburntrestle/fleet/request_relay.hpp"
+#include "auburntrestle/fleet/watch_scheduler.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
@@ -86,9 +86,10 @@
                RequestHeaders aHeaders,
                RelayOptions aRelay);
   [[nodiscard]] tl::expected<void, StartError> Open();
-  /** Asks a relay, or the leader, for newer routes and backend servers. */
-  void WatchDirectory();
-  void HandleWatchReply(const std::optional<InstanceId>& aRelay,
+  /** Asks relays, or the leader, for newer routes and backend servers. */
+  void SendWatches();
+  void SendWatch(const WatchRequest& aRequest);
+  void HandleWatchReply(const WatchRequest& aRequest,
                         const tl::expected<ReplyBody, LinkError>& aReply);
   void HandleDirectory(const DirectoryView& aView);
   void ApplyConfiguration(const ConfigurationView& aView);
@@ -103,7 +104,8 @@
   std::shared_ptr<const RouteTable> m_routes;
   std::function<void(const RouteTable&)> m_onConfiguration;
   Watch m_watch;
-  RelaySelector m_relays;
+  WatchScheduler m_watches;
+  std::optional<timer::TimerId> m_watchTimer;
   TimePoint m_routesConfirmedAt{};
   bool m_connected = false;
   std::unique_ptr<protocol::PeerTransport> m_transport;
--- a/src/auburntrestle/fleet/fwd.hpp
+++ b/src/auburntrestle/fleet/fwd.hpp
@@ -20,6 +20,7 @@
 class RouteTable;
 class State;
 class StoreService;
+class WatchScheduler;
 class WeightRollout;
 
 } // namespace auburntrestle::fleet
--- /dev/null
+++ b/src/auburntrestle/fleet/watch_scheduler.hpp
@@ -0,0 +1,70 @@
+#ifndef AUBURNTRESTLE_FLEET_WATCH_SCHEDULER_HPP
+#define AUBURNTRESTLE_FLEET_WATCH_SCHEDULER_HPP
+
+#include "auburntrestle/core/ids.hpp"
+#include "auburntrestle/core/strong_type.hpp"
+#include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/messages.hpp"
+#include "auburntrestle/fleet/relay_selector.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace auburntrestle::fleet {
+
+/** Numbers the Watches that an instance has sent. */
+using WatchNumber = StrongType<struct WatchNumberTag, std::uint64_t>;
+
+/** A Watch to be sent. */
+struct WatchRequest
+{
+  WatchNumber m_number;
+  /** The relay to ask; nothing if the leader is to be asked. */
+  std::optional<InstanceId> m_relay;
+};
+
+/**
+ * Decides when an entry instance sends a Watch and to whom, so that its routes
+ * are always confirmed by a recent reply. Reads no clock and sends nothing: the
+ * owner sends what Advance returns and reports each reply once.
+ */
+class WatchScheduler
+{
+public:
+  /** @param aSelf this instance. @param aHome its data centre. */
+  WatchScheduler(InstanceId aSelf, DataCentreId aHome);
+
+  /** Replaces the relays. */
+  void SetRelays(std::vector<Relay> aRelays);
+  /** @return the Watches to be sent now. */
+  [[nodiscard]] std::vector<WatchRequest> Advance(TimePoint aNow);
+  /** @return when Advance may next return a Watch without a reply; max if
+   * only a reply can cause one. */
+  [[nodiscard]] TimePoint NextDeadline() const noexcept;
+  /** Records a reply or its failure.
+   * @param aConfirmed whether the reply confirms the routes. */
+  void HandleReply(const WatchRequest& aRequest,
+                   bool aConfirmed,
+                   TimePoint aNow);
+
+private:
+  struct Outstanding
+  {
+    WatchRequest m_request;
+    TimePoint m_sentAt{};
+  };
+
+  [[nodiscard]] Outstanding MakeRequest(std::optional<InstanceId> aRelay,
+                                        TimePoint aNow);
+
+  RelaySelector m_selector;
+  WatchNumber m_lastNumber;
+  std::optional<Outstanding> m_current;
+  /** When the next Watch is due after a failure. */
+  TimePoint m_nextAt{};
+};
+
+} // namespace auburntrestle::fleet
+
+#endif
