Do not wait for relays that do not reply, nor return to them untried

Callers saw: routes of an older configuration, and 503 for routes that had been added, at the entry instances of one data centre while stores of it were frozen.

Cause: an entry instance asked one relay at a time, waited 1 s for each, and preferred a relay of its own data centre again as soon as its backoff of 500 ms had ended, before it had tried the others. With two or three relays that do not reply, the first ones were asked in turn for ever.

Change: a relay that does not reply within 500 ms is left; relays that have not failed come before those that have, and one that works stays in use while a preferred one is probed beside it. Without a fault there is one Watch at a time, as before.

--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -122,11 +122,12 @@
   const auto* view = aReply ? std::get_if<DirectoryView>(&*aReply) : nullptr;
   const bool confirmed =
     view != nullptr && view->m_confirmationAge < kMaxConfirmationAge;
-  if (std::exchange(m_connected, confirmed) != confirmed) {
-    LogLine(LogLevel::Info, confirmed ? "leader_found" : "leader_lost")
+  const Duration unconfirmed = MonotonicClock::Now() - m_routesConfirmedAt;
+  const bool connected = confirmed || unconfirmed < kMaxConfirmationAge;
+  if (std::exchange(m_connected, connected) != connected) {
+    LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost")
       .Add("relay", aRequest.m_relay ? aRequest.m_relay->Get() : "none")
-      .Add("unconfirmed_us",
-           (MonotonicClock::Now() - m_routesConfirmedAt).count());
+      .Add("unconfirmed_us", unconfirmed.count());
   }
   if (view != nullptr) {
     HandleDirectory(*view);
--- a/src/auburntrestle/fleet/watch_scheduler.cpp
+++ b/src/auburntrestle/fleet/watch_scheduler.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
+/** A relay defers its reply for 300 ms at most. */
+constexpr Duration kMaxRelayTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -28,34 +30,63 @@
   return { { m_lastNumber, std::move(aRelay) }, aNow };
 }
 
+void WatchScheduler::AbandonSlow(TimePoint aNow)
+{
+  if (!m_current || !m_current->m_request.m_relay ||
+      aNow < m_current->m_sentAt + kMaxRelayTime) {
+    return;
+  }
+  m_selector.RecordFailure(*m_current->m_request.m_relay, aNow);
+  m_current.reset();
+  m_nextAt = aNow;
+}
+
 std::vector<WatchRequest> WatchScheduler::Advance(TimePoint aNow)
 {
+  AbandonSlow(aNow);
   std::vector<WatchRequest> requests;
   if (!m_current && aNow >= m_nextAt) {
     m_current = MakeRequest(m_selector.Select(aNow), aNow);
     requests.push_back(m_current->m_request);
   }
+  if (auto relay = m_probe ? std::nullopt : m_selector.SelectProbe(aNow)) {
+    m_probe = MakeRequest(std::move(relay), aNow);
+    requests.push_back(m_probe->m_request);
+  }
   return requests;
 }
 
 TimePoint WatchScheduler::NextDeadline() const noexcept
 {
-  return m_current ? TimePoint::max() : m_nextAt;
+  if (!m_current) {
+    return m_nextAt;
+  }
+  return m_current->m_request.m_relay ? m_current->m_sentAt + kMaxRelayTime
+                                      : TimePoint::max();
 }
 
 void WatchScheduler::HandleReply(const WatchRequest& aRequest,
                                  bool aConfirmed,
                                  TimePoint aNow)
 {
+  const auto isReplyTo = [&](const std::optional<Outstanding>& aOutstanding) {
+    return aOutstanding &&
+           aOutstanding->m_request.m_number == aRequest.m_number;
+  };
+  const bool toCurrent = isReplyTo(m_current);
+  const bool toProbe = isReplyTo(m_probe);
   if (aRequest.m_relay && aConfirmed) {
     m_selector.RecordSuccess(*aRequest.m_relay);
-  } else if (aRequest.m_relay) {
+  } else if (aRequest.m_relay && (toCurrent || toProbe)) {
     m_selector.RecordFailure(*aRequest.m_relay, aNow);
   }
-  if (m_current && m_current->m_request.m_number == aRequest.m_number) {
+  if (toCurrent) {
     m_current.reset();
     m_nextAt = aConfirmed ? aNow : aNow + kRetryDelay;
   }
+  if (toProbe) {
+    m_probe.reset();
+  }
 }
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/watch_scheduler.hpp
+++ b/src/auburntrestle/fleet/watch_scheduler.hpp
@@ -26,8 +26,10 @@
 
 /**
  * Decides when an entry instance sends a Watch and to whom, so that its routes
- * are always confirmed by a recent reply. Reads no clock and sends nothing: the
- * owner sends what Advance returns and reports each reply once.
+ * are always confirmed by a recent reply. Without a fault there is one Watch at
+ * a time. One that takes too long is followed by a Watch to another relay, and
+ * a relay that failed is probed beside the one in use. Reads no clock and sends
+ * nothing: the owner sends what Advance returns and reports each reply once.
  */
 class WatchScheduler
 {
@@ -55,12 +57,17 @@
     TimePoint m_sentAt{};
   };
 
+  /** Stops waiting for a relay that takes too long. */
+  void AbandonSlow(TimePoint aNow);
   [[nodiscard]] Outstanding MakeRequest(std::optional<InstanceId> aRelay,
                                         TimePoint aNow);
 
   RelaySelector m_selector;
   WatchNumber m_lastNumber;
+  /** The Watch whose reply is followed by the next one. */
   std::optional<Outstanding> m_current;
+  /** A Watch to a relay that may replace the one in use. */
+  std::optional<Outstanding> m_probe;
   /** When the next Watch is due after a failure. */
   TimePoint m_nextAt{};
 };
