Let a learner forget a leader that went silent

Callers would see: publications, configurations and heartbeats that fail at one store until a leader reaches it again, after 900 ms each.

Cause: only a voter gives up a silent leader, when it starts an election. A learner that is cut off or frozen while the leader is replaced, and that is removed from the log meanwhile, kept the old one as its leader; a store prefers the leader of its replica to the one of a notice. Its election deadline also stayed in the past, so that its timer expired again and again at once (read from the code; the load was not measured).

Evidence: LearnerTest.ALearnerForgetsASilentLeader failed before on both. That this is the report of a publication without acknowledgement is not shown: one such store among 13 is met by few calls in a row.

Now a learner gives up a silent leader after the election timeout, as a voter does. All 299 tests of consensus pass.

--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -249,6 +249,10 @@
     } else {
       ResetElectionDeadline();
     }
+  } else if (!IsVoter() && m_now >= m_electionDeadline) {
+    // A voter forgets a silent leader when it starts an election.
+    SetLeader(std::nullopt);
+    ResetElectionDeadline();
   }
   if (m_now >= m_heartbeatDeadline) {
     m_heartbeatDeadline = m_now + m_options.m_heartbeatInterval;
