Leave a relay that a former leader confirms

An entry instance counted a view as useful whatever its term, so it stayed with a relay that a former leader still confirmed and got no news from it. A view of an earlier term than one seen before now counts as a failure of the relay. ConfirmsRoutesTest EarlierTerm fails without the check.

--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -20,9 +20,6 @@
 constexpr Duration kWatchTimeout = std::chrono::milliseconds(1500);
 /** A relay that takes longer is replaced by another. */
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1000);
-/** A relay whose last confirmation by the leader is older is replaced by
- * another. */
-constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
 /** Routes that were not confirmed for this long may be out of date. */
 constexpr Duration kMaxRoutesAge = std::chrono::milliseconds(1500);
 /** Callers read results about twice a second, and try another instance when a
@@ -121,9 +118,9 @@
 {
   const auto* view = aReply ? std::get_if<DirectoryView>(&*aReply) : nullptr;
   const bool confirmed =
-    view != nullptr && view->m_confirmationAge < kMaxConfirmationAge;
+    view != nullptr && ConfirmsRoutes(*view, m_watch.m_term);
   const Duration unconfirmed = MonotonicClock::Now() - m_routesConfirmedAt;
-  const bool connected = confirmed || unconfirmed < kMaxConfirmationAge;
+  const bool connected = confirmed || unconfirmed < kMaxRoutesAge;
   if (std::exchange(m_connected, connected) != connected) {
     LogLine(LogLevel::Info, connected ? "leader_found" : "leader_lost")
       .Add("relay", aRequest.m_relay ? aRequest.m_relay->Get() : "none")
--- a/src/auburntrestle/fleet/watch_scheduler.cpp
+++ b/src/auburntrestle/fleet/watch_scheduler.cpp
@@ -10,8 +10,18 @@
 /** A relay defers its reply for 300 ms at most. */
 constexpr Duration kMaxRelayTime = std::chrono::milliseconds(500);
 
+/** A relay whose last confirmation by the leader is older is replaced by
+ * another. */
+constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
+
 } // namespace
 
+bool ConfirmsRoutes(const DirectoryView& aView, Term aNewestTerm) noexcept
+{
+  return aView.m_term >= aNewestTerm &&
+         aView.m_confirmationAge < kMaxConfirmationAge;
+}
+
 WatchScheduler::WatchScheduler(InstanceId aSelf, DataCentreId aHome)
   : m_selector(std::move(aSelf), std::move(aHome))
 {
--- a/src/auburntrestle/fleet/watch_scheduler.hpp
+++ b/src/auburntrestle/fleet/watch_scheduler.hpp
@@ -13,6 +13,12 @@
 
 namespace auburntrestle::fleet {
 
+/** @return whether a view shows that its routes were up to date recently.
+ * @param aNewestTerm the newest term of the views so far; a leader of an
+ * earlier term was replaced and may not know it. */
+[[nodiscard]] bool ConfirmsRoutes(const DirectoryView& aView,
+                                  Term aNewestTerm) noexcept;
+
 /** Numbers the Watches that an instance has sent. */
 using WatchNumber = StrongType<struct WatchNumberTag, std::uint64_t>;
 
--- a/test/auburntrestle/fleet/watch_scheduler_test.cpp
+++ b/test/auburntrestle/fleet/watch_scheduler_test.cpp
@@ -168,6 +168,38 @@
   EXPECT_EQ(simulation.SentTo("own0"), simulation.Sent());
 }
 
+struct ViewCase
+{
+  std::string m_name;
+  Term m_term;
+  Duration m_confirmationAge;
+  bool m_confirms;
+};
+
+class ConfirmsRoutesTest : public testing::TestWithParam<ViewCase>
+{};
+
+// Guards against an instance that stays with a relay which a former leader
+// confirms, and gets no news from it.
+TEST_P(ConfirmsRoutesTest, OnlyARecentViewOfTheNewestLeaderConfirms)
+{
+  DirectoryView view;
+  view.m_term = GetParam().m_term;
+  view.m_confirmationAge = GetParam().m_confirmationAge;
+  EXPECT_EQ(ConfirmsRoutes(view, Term(5)), GetParam().m_confirms);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Views,
+  ConfirmsRoutesTest,
+  testing::Values(
+    ViewCase{ "Recent", Term(5), milliseconds(900), true },
+    ViewCase{ "LaterTerm", Term(6), milliseconds(0), true },
+    ViewCase{ "EarlierTerm", Term(4), milliseconds(0), false },
+    ViewCase{ "Old", Term(5), milliseconds(1000), false },
+    ViewCase{ "NeverConfirmed", Term(5), Duration::max(), false }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against a load that grows without a fault: the relays answer the
 // Watches of hundreds of instances.
 TEST(WatchSchedulerTest, SendsOneWatchAtATimeWithoutAFault)
