--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -222,6 +222,7 @@
     for (auto& [member, progress] : m_progress) {
       SendEntries(member, progress);
     }
+    SendSnapshots();
   }
   if (m_role == NodeRole::Leader && m_heartbeatDue) {
     SendHeartbeats();
--- a/src/auburntrestle/consensus/node.hpp
+++ b/src/auburntrestle/consensus/node.hpp
@@ -217,6 +217,15 @@
   void SendEntries(const MemberIdentity& aTo, internal::Progress& aProgress);
   void SendAppendRequest(const MemberIdentity& aTo,
                          internal::Progress& aProgress);
+  void SendSnapshots();
+  /** @return the responsive members that need a snapshot and were sent none
+   * recently: voters first, then those that have waited longest. */
+  [[nodiscard]] std::vector<MemberIdentity> MembersWaitingForSnapshots() const;
+  /** @return whether a snapshot was sent whose response is not overdue. */
+  [[nodiscard]] bool AwaitsSnapshotResponse(
+    const internal::Progress& aProgress) const noexcept;
+  [[nodiscard]] bool NeedsSnapshot(
+    const internal::Progress& aProgress) const noexcept;
   void SendSnapshot(const MemberIdentity& aTo, internal::Progress& aProgress);
   void ResendIfOverdue(internal::Progress& aProgress) const;
   void SendHeartbeats();
--- a/src/auburntrestle/consensus/node_replication.cpp
+++ b/src/auburntrestle/consensus/node_replication.cpp
@@ -2,7 +2,9 @@
 #include "auburntrestle/core/overloaded.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace auburntrestle::consensus {
 
@@ -79,11 +81,8 @@
 
 void Node::SendEntries(const MemberIdentity& aTo, internal::Progress& aProgress)
 {
-  if (aProgress.m_needsSnapshot || aProgress.m_next <= m_log.Base().m_index) {
-    SendSnapshot(aTo, aProgress);
-    return;
-  }
-  if (aProgress.m_mode == internal::SendMode::Snapshot) {
+  if (NeedsSnapshot(aProgress) ||
+      aProgress.m_mode == internal::SendMode::Snapshot) {
     return;
   }
   if (aProgress.m_mode == internal::SendMode::Probe) {
@@ -127,17 +126,68 @@
   Send(aTo, std::move(request));
 }
 
-void Node::SendSnapshot(const MemberIdentity& aTo,
-                        internal::Progress& aProgress)
+bool Node::NeedsSnapshot(const internal::Progress& aProgress) const noexcept
 {
-  if (aProgress.m_mode == internal::SendMode::Snapshot &&
-      m_now < aProgress.m_snapshotSent + m_options.m_snapshotResendTimeout) {
-    return;
-  }
-  if (m_now > aProgress.m_lastContact + m_options.m_electionTimeout) {
+  return aProgress.m_needsSnapshot || aProgress.m_next <= m_log.Base().m_index;
+}
+
+bool Node::AwaitsSnapshotResponse(
+  const internal::Progress& aProgress) const noexcept
+{
+  return aProgress.m_mode == internal::SendMode::Snapshot &&
+         m_now < aProgress.m_snapshotSent + m_options.m_snapshotResendTimeout;
+}
+
+std::vector<MemberIdentity> Node::MembersWaitingForSnapshots() const
+{
+  std::vector<std::tuple<bool, TimePoint, MemberIdentity>> waiting;
+  for (const Member& member : CurrentConfiguration().m_members) {
+    const auto found = m_progress.find(member.m_identity);
+    if (found == m_progress.end()) {
+      continue;
+    }
+    const internal::Progress& progress = found->second;
     // An unresponsive member gets its snapshot once it responds again.
+    const bool responds =
+      m_now <= progress.m_lastContact + m_options.m_electionTimeout;
+    if (responds && NeedsSnapshot(progress) &&
+        !AwaitsSnapshotResponse(progress)) {
+      waiting.emplace_back(member.m_role == MemberRole::Learner,
+                           progress.m_snapshotSent,
+                           member.m_identity);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  std::vector<MemberIdentity> members;
+  members.reserve(waiting.size());
+  for (auto& [isLearner, lastSent, member] : waiting) {
+    members.push_back(std::move(member));
+  }
+  return members;
+}
+
+void Node::SendSnapshots()
+{
+  auto transfers = static_cast<std::size_t>(std::count_if(
+    m_progress.begin(), m_progress.end(), [this](const auto& aItem) {
+      return AwaitsSnapshotResponse(aItem.second);
+    }));
+  if (transfers >= m_options.m_maxSnapshotTransfers) {
     return;
   }
+  for (const MemberIdentity& member : MembersWaitingForSnapshots()) {
+    SendSnapshot(member, m_progress.at(member));
+    ++transfers;
+    if (m_role != NodeRole::Leader ||
+        transfers >= m_options.m_maxSnapshotTransfers) {
+      return;
+    }
+  }
+}
+
+void Node::SendSnapshot(const MemberIdentity& aTo,
+                        internal::Progress& aProgress)
+{
   auto snapshot = m_storage->ReadSnapshot();
   if (!snapshot) {
     Stop(StopReason::StorageFailed, snapshot.error());
--- a/src/auburntrestle/consensus/options.hpp
+++ b/src/auburntrestle/consensus/options.hpp
@@ -89,6 +89,10 @@
   std::size_t m_snapshotThresholdEntries = 10000;
   /** Time without an acknowledgement after which a snapshot is resent. */
   Duration m_snapshotResendTimeout = std::chrono::seconds(2);
+  /** Maximum number of members to which snapshots are sent at the same time;
+   * the others wait. Reading and sending a large snapshot takes time in which
+   * the leader does nothing else. */
+  std::size_t m_maxSnapshotTransfers = 2;
   /** Number of entries before a snapshot that stay in memory, so that a member
    * that is slightly behind needs no snapshot. */
   std::size_t m_trailingEntries = 1000;
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -100,6 +100,7 @@
   options.m_snapshotThresholdBytes = kSnapshotThresholdBytes;
   options.m_trailingEntries = kTrailingEntries;
   options.m_snapshotResendTimeout = kSnapshotResendTimeout;
+  options.m_maxSnapshotTransfers = SnapshotSender::kMaxTransfers;
   options.m_autoPromote = false;
   return options;
 }
@@ -295,6 +296,11 @@
 void Replica::SendSnapshot(const consensus::Message& aMessage,
                            const consensus::SnapshotRequest& aBody)
 {
+  // The log requests the snapshot again while the member still lacks it.
+  const TimePoint now = MonotonicClock::Now();
+  if (!m_snapshotSender.CanStart(aMessage.m_to.m_instance, now)) {
+    return;
+  }
   const auto state = State::Restore(aBody.m_snapshot.m_state, *m_outputs);
   if (!state) {
     LogLine(LogLevel::Error, "snapshot_unreadable")
@@ -312,7 +318,7 @@
                          state->OutputSegments(),
                          protocol::EncodeConsensus(aMessage),
                          *m_outputs,
-                         MonotonicClock::Now());
+                         now);
 }
 
 tl::expected<std::uint64_t, OutputStoreError> Replica::AppendOutputChunk(
--- a/src/auburntrestle/fleet/snapshot_sender.cpp
+++ b/src/auburntrestle/fleet/snapshot_sender.cpp
@@ -14,6 +14,14 @@
 {
 }
 
+bool SnapshotSender::CanStart(const InstanceId& aTo, TimePoint aNow) const
+{
+  const auto found = m_transfers.find(aTo);
+  return found == m_transfers.end()
+           ? m_transfers.size() < kMaxTransfers
+           : aNow - found->second->m_lastProgressAt >= kStallTimeout;
+}
+
 void SnapshotSender::Start(
   const InstanceId& aTo,
   const std::map<OutputSegment, std::uint64_t>& aSegments,
@@ -21,16 +29,12 @@
   OutputStore& aOutputs,
   TimePoint aNow)
 {
-  auto& active = m_transfers[aTo];
-  if (active && aNow - active->m_lastProgressAt < kStallTimeout) {
+  if (!CanStart(aTo, aNow)) {
     return;
   }
+  auto& active = m_transfers[aTo];
   if (active) {
     active->m_cancelled = true;
-  } else if (m_transfers.size() > kMaxTransfers) {
-    // The log requests the snapshot again while the member still lacks it.
-    m_transfers.erase(aTo);
-    return;
   }
   active = std::make_shared<Transfer>();
   active->m_to = aTo;
--- a/src/auburntrestle/fleet/snapshot_sender.hpp
+++ b/src/auburntrestle/fleet/snapshot_sender.hpp
@@ -33,11 +33,16 @@
   using SnapshotMessageSender =
     std::function<void(const InstanceId&, std::string)>;
 
+  /** Concurrent transfers; each holds a complete encoded state in memory. */
+  static constexpr std::size_t kMaxTransfers = 2;
+
   SnapshotSender(ChunkSender aSendChunk, SnapshotMessageSender aSendSnapshot);
 
+  /** @return false while a transfer to this member makes progress, or while the
+   * maximum number of transfers runs. */
+  [[nodiscard]] bool CanStart(const InstanceId& aTo, TimePoint aNow) const;
   /**
-   * Starts a transfer to a member. Does nothing while a transfer to this member
-   * makes progress, or while the maximum number of transfers runs.
+   * Starts a transfer to a member. Does nothing unless CanStart.
    *
    * @param aSegments the segments in use, each with the number of its bytes in
    * use.
@@ -57,8 +62,6 @@
 private:
   /** A transfer without progress for this long may be replaced by a new one. */
   static constexpr Duration kStallTimeout = std::chrono::seconds(2);
-  /** Concurrent transfers; each holds a complete encoded state in memory. */
-  static constexpr std::size_t kMaxTransfers = 2;
   static constexpr std::size_t kChunkBytes = std::size_t{ 256 } * 1024;
 
   struct Transfer
