Read the rate limits that backend servers state

A backend server in trouble states in its responses how many requests a second it takes from all instances together.

BackendClient sends all requests to backend servers, of whatever kind, and reads the head of each response. A limit is stated, changes or ends with the line backend_limit_changed; nothing acts on it yet. A response to a request that was sent before the limit was stated does not end it, nor does one of another process.

--- /dev/null
+++ b/src/auburntrestle/fleet/backend_client.hpp
@@ -0,0 +1,65 @@
+#ifndef AUBURNTRESTLE_FLEET_BACKEND_CLIENT_HPP
+#define AUBURNTRESTLE_FLEET_BACKEND_CLIENT_HPP
+
+#include "auburntrestle/event_loop/event_loop.hpp"
+#include "auburntrestle/fleet/backend_rate_limits.hpp"
+#include "auburntrestle/fleet/backend_record.hpp"
+#include "auburntrestle/fleet/backend_statement.hpp"
+#include "auburntrestle/http/client.hpp"
+#include "auburntrestle/observe/instruments.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace auburntrestle::fleet {
+
+/**
+ * Sends all requests of this instance to backend servers, of whatever kind, and
+ * tracks what the servers state about themselves in the heads of their
+ * responses.
+ */
+class BackendClient
+{
+public:
+  BackendClient(event_loop::EventLoop& aLoop,
+                http::ClientOptions aOptions,
+                BackendStatementReader aReadStatement,
+                observe::Instruments& aInstruments);
+
+  /** Sends a request to a backend server; see http::Client::Start. */
+  [[nodiscard]] std::shared_ptr<http::Call> Start(
+    const BackendRecord& aBackend,
+    const http::Request& aRequest,
+    const http::CallOptions& aOptions,
+    http::CallHandlers aHandlers);
+  /** Sends a request and collects the complete response; see http::Fetch. */
+  [[nodiscard]] std::shared_ptr<http::Call> Fetch(
+    const BackendRecord& aBackend,
+    const http::Request& aRequest,
+    const http::CallOptions& aOptions,
+    std::function<void(http::FetchResult)> aCallback);
+  /** Closes the idle connections to an address. */
+  void CloseIdle(const std::string& aAddress);
+
+  /** @return the limits that backend servers stated, and the requests sent. */
+  [[nodiscard]] BackendRateLimits& Limits() noexcept { return m_limits; }
+  [[nodiscard]] const BackendRateLimits& Limits() const noexcept
+  {
+    return m_limits;
+  }
+
+private:
+  void HandleHead(const BackendProcess& aBackend,
+                  TimePoint aSentAt,
+                  const http::ResponseHead& aHead);
+
+  http::Client m_client;
+  BackendStatementReader m_readStatement;
+  observe::Instruments& m_instruments;
+  BackendRateLimits m_limits;
+};
+
+} // namespace auburntrestle::fleet
+
+#endif
--- a/src/auburntrestle/fleet/backend_record.hpp
+++ b/src/auburntrestle/fleet/backend_record.hpp
@@ -20,6 +20,16 @@
   Removed,
 };
 
+/** One process of a backend server. */
+struct BackendProcess
+{
+  BackendId m_id;
+  Incarnation m_incarnation;
+
+  friend auto operator<=>(const BackendProcess&,
+                          const BackendProcess&) = default;
+};
+
 /** The announcement of a backend server. */
 struct BackendRecord
 {
@@ -35,6 +45,11 @@
   /** The number of the announcement within the incarnation. */
   std::uint64_t m_sequence = 0;
 
+  [[nodiscard]] BackendProcess Process() const
+  {
+    return { m_id, m_incarnation };
+  }
+
   /** @return whether all fields that routing depends on are equal. */
   [[nodiscard]] bool HasSameRouting(const BackendRecord& aOther) const
   {
--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 EnginePool::EnginePool(event_loop::EventLoop& aLoop,
-                       http::Client& aClient,
+                       BackendClient& aClient,
                        const EngineProtocol& aProtocol,
                        EnginePoolOptions aOptions,
                        RecordFunction aRecord,
@@ -235,10 +235,10 @@
   }
 }
 
-const std::string* EnginePool::AddressOf(const BackendId& aEngine) const
+const BackendRecord* EnginePool::RecordOf(const BackendId& aEngine) const
 {
   const auto found = m_engines.find(aEngine);
-  return found == m_engines.end() ? nullptr : &found->second.m_record.m_address;
+  return found == m_engines.end() ? nullptr : &found->second.m_record;
 }
 
 bool EnginePool::IsLoading(const BackendId& aEngine) const
@@ -268,9 +268,8 @@
   http::CallOptions options;
   options.m_timeout = kCallTimeout;
   options.m_maxResponseBytes = kMaxResponseBytes;
-  std::ignore = http::Fetch(
-    m_client,
-    engine.m_record.m_address,
+  std::ignore = m_client.Fetch(
+    engine.m_record,
     m_protocol.m_reportRequest(aId),
     options,
     [this, aId, epoch = m_epoch, incarnation = engine.m_record.m_incarnation](
@@ -397,9 +396,8 @@
   http::CallOptions options;
   options.m_timeout = kCallTimeout;
   options.m_maxResponseBytes = kMaxResponseBytes;
-  std::ignore = http::Fetch(
-    m_client,
-    engine.m_record.m_address,
+  std::ignore = m_client.Fetch(
+    engine.m_record,
     m_protocol.m_orderRequest(order),
     options,
     [this, aLoad, epoch = m_epoch, incarnation = engine.m_record.m_incarnation](
--- a/src/auburntrestle/fleet/engine_pool.hpp
+++ b/src/auburntrestle/fleet/engine_pool.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_FLEET_ENGINE_POOL_HPP
 
 #include "auburntrestle/event_loop/event_loop.hpp"
+#include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/backend_record.hpp"
 #include "auburntrestle/fleet/engine_protocol.hpp"
 #include "auburntrestle/fleet/item_scheduler.hpp"
@@ -42,7 +43,7 @@
     std::function<void(const WeightLoad&, std::function<void(bool)>)>;
 
   EnginePool(event_loop::EventLoop& aLoop,
-             http::Client& aClient,
+             BackendClient& aClient,
              const EngineProtocol& aProtocol,
              EnginePoolOptions aOptions,
              RecordFunction aRecord,
@@ -89,8 +90,8 @@
                      const ModelName& aModel,
                      WeightVersion aVersion);
 
-  /** @return ip:port of an engine, or null. */
-  [[nodiscard]] const std::string* AddressOf(const BackendId& aEngine) const;
+  /** @return the record of an engine, or null. */
+  [[nodiscard]] const BackendRecord* RecordOf(const BackendId& aEngine) const;
   /** @return whether an order to load weights is in progress on an engine. */
   [[nodiscard]] bool IsLoading(const BackendId& aEngine) const;
   /** @return whether an engine is known; its runs may continue. */
@@ -147,7 +148,7 @@
   void RunAfter(Duration aDelay, std::function<void()> aWork);
 
   event_loop::EventLoop& m_loop;
-  http::Client& m_client;
+  BackendClient& m_client;
   const EngineProtocol& m_protocol;
   EnginePoolOptions m_options;
   RecordFunction m_record;
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -36,7 +36,10 @@
   : m_loop(aLoop)
   , m_options(std::move(aOptions))
   , m_random(std::random_device()())
-  , m_client(aLoop, MakeClientOptions(m_options.m_responseLimits))
+  , m_client(aLoop,
+             MakeClientOptions(m_options.m_responseLimits),
+             m_options.m_readStatement,
+             *m_options.m_instruments)
   , m_chooser(m_options.m_dataCentre)
   , m_relay(aLoop,
             m_client,
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -4,11 +4,11 @@
 #include "auburntrestle/core/random.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_chooser.hpp"
+#include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/leader_link.hpp"
 #include "auburntrestle/fleet/request_relay.hpp"
 #include "auburntrestle/fleet/watch_scheduler.hpp"
-#include "auburntrestle/http/client.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <tl/expected.hpp>
@@ -97,7 +97,7 @@
   event_loop::EventLoop& m_loop;
   InstanceOptions m_options;
   RandomSource m_random;
-  http::Client m_client;
+  BackendClient m_client;
   BackendChooser m_chooser;
   RequestRelay m_relay;
   std::unique_ptr<LeaderLink> m_link;
--- a/src/auburntrestle/fleet/instance_options.hpp
+++ b/src/auburntrestle/fleet/instance_options.hpp
@@ -3,6 +3,7 @@
 
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/backend_statement.hpp"
 #include "auburntrestle/fleet/memory_limits.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
 #include "auburntrestle/http/client.hpp"
@@ -38,6 +39,7 @@
   std::vector<InstanceId> m_seeds;
   std::string m_sharedKey;
   ConfigurationReader m_readConfiguration;
+  BackendStatementReader m_readStatement;
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   std::shared_ptr<observe::Instruments> m_instruments =
     std::make_shared<observe::Instruments>();
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 JobRunner::JobRunner(event_loop::EventLoop& aLoop,
-                     http::Client& aClient,
+                     BackendClient& aClient,
                      const EngineProtocol& aProtocol,
                      EnginePool& aEngines,
                      RewardCaller& aRewards,
@@ -240,7 +240,6 @@
   const JobSpec& spec = *aItem->m_job->m_spec;
   const JobItem& item = spec.m_items[aItem->m_index];
   const Route* route = m_routes->Match(spec.m_host, item.m_path);
-  const std::string* address = m_engines.AddressOf(aEngine);
   aItem->m_engine = aEngine;
   aItem->m_head.reset();
   aItem->m_startedAt = MonotonicClock::Now();
@@ -262,7 +261,7 @@
     .Add("engine", aEngine)
     .Add("after_event", lastEvent.value_or(0));
   aItem->m_call = m_client.Start(
-    *address,
+    *m_engines.RecordOf(aEngine),
     m_protocol.m_itemRequest(spec, item, aEngine, left, lastEvent),
     options,
     http::CallHandlers{
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -37,7 +37,7 @@
     std::function<void(const Command&, std::function<void(bool)>)>;
 
   JobRunner(event_loop::EventLoop& aLoop,
-            http::Client& aClient,
+            BackendClient& aClient,
             const EngineProtocol& aProtocol,
             EnginePool& aEngines,
             RewardCaller& aRewards,
@@ -113,7 +113,7 @@
   void ExpireItems();
 
   event_loop::EventLoop& m_loop;
-  http::Client& m_client;
+  BackendClient& m_client;
   const EngineProtocol& m_protocol;
   EnginePool& m_engines;
   RewardCaller& m_rewards;
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -86,7 +86,7 @@
 };
 
 RequestRelay::RequestRelay(event_loop::EventLoop& aLoop,
-                           http::Client& aClient,
+                           BackendClient& aClient,
                            BackendChooser& aChooser,
                            RequestHeaders aHeaders,
                            RelayOptions aOptions,
@@ -174,14 +174,13 @@
   http::CallOptions options;
   options.m_timeout = left;
   attempt->m_call =
-    http::Fetch(m_client,
-                backend->m_address,
-                request,
-                options,
-                [this, aRelayed, attempt](http::FetchResult aResponse) {
-                  std::erase(aRelayed->m_running, attempt);
-                  HandleResponse(aRelayed, attempt, std::move(aResponse));
-                });
+    m_client.Fetch(*backend,
+                   request,
+                   options,
+                   [this, aRelayed, attempt](http::FetchResult aResponse) {
+                     std::erase(aRelayed->m_running, attempt);
+                     HandleResponse(aRelayed, attempt, std::move(aResponse));
+                   });
 }
 
 void RequestRelay::StartHedge(const std::shared_ptr<RelayedRequest>& aRelayed)
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -3,6 +3,7 @@
 
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_chooser.hpp"
+#include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/http/server.hpp"
@@ -50,7 +51,7 @@
 {
 public:
   RequestRelay(event_loop::EventLoop& aLoop,
-               http::Client& aClient,
+               BackendClient& aClient,
                BackendChooser& aChooser,
                RequestHeaders aHeaders,
                RelayOptions aOptions,
@@ -92,7 +93,7 @@
   void RecordMetrics(const RelayedRequest& aRelayed, int aStatus);
 
   event_loop::EventLoop& m_loop;
-  http::Client& m_client;
+  BackendClient& m_client;
   BackendChooser& m_chooser;
   RequestHeaders m_headers;
   RelayOptions m_options;
--- a/src/auburntrestle/fleet/reward_caller.cpp
+++ b/src/auburntrestle/fleet/reward_caller.cpp
@@ -57,7 +57,7 @@
 };
 
 RewardCaller::RewardCaller(event_loop::EventLoop& aLoop,
-                           http::Client& aClient,
+                           BackendClient& aClient,
                            const EngineProtocol& aProtocol,
                            RewardCallerOptions aOptions,
                            observe::Instruments& aInstruments,
@@ -251,18 +251,17 @@
     .Add("backend", aBackend.m_id)
     .Add("attempt", aCall->m_attempts);
   attempt->m_call =
-    http::Fetch(m_client,
-                aBackend.m_address,
-                m_protocol.m_rewardRequest(
-                  aCall->Reward(), aBackend.m_id, options.m_timeout),
-                options,
-                [this, aCall, attempt](const http::FetchResult& aResult) {
-                  std::erase(aCall->m_running, attempt);
-                  if (!aCall->m_closed) {
-                    HandleResult(aCall, attempt, aResult);
-                    Dispatch();
-                  }
-                });
+    m_client.Fetch(aBackend,
+                   m_protocol.m_rewardRequest(
+                     aCall->Reward(), aBackend.m_id, options.m_timeout),
+                   options,
+                   [this, aCall, attempt](const http::FetchResult& aResult) {
+                     std::erase(aCall->m_running, attempt);
+                     if (!aCall->m_closed) {
+                       HandleResult(aCall, attempt, aResult);
+                       Dispatch();
+                     }
+                   });
 }
 
 void RewardCaller::ScheduleHedge(const CallPtr& aCall)
--- a/src/auburntrestle/fleet/reward_caller.hpp
+++ b/src/auburntrestle/fleet/reward_caller.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/core/random.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_chooser.hpp"
+#include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/engine_protocol.hpp"
 #include "auburntrestle/fleet/job.hpp"
 #include "auburntrestle/fleet/reward_queue.hpp"
@@ -67,7 +68,7 @@
   using DoneCallback = std::function<void(const RewardResult&)>;
 
   RewardCaller(event_loop::EventLoop& aLoop,
-               http::Client& aClient,
+               BackendClient& aClient,
                const EngineProtocol& aProtocol,
                RewardCallerOptions aOptions,
                observe::Instruments& aInstruments,
@@ -119,7 +120,7 @@
   [[nodiscard]] std::uint32_t MaxFailures(const PendingCall& aCall) const;
 
   event_loop::EventLoop& m_loop;
-  http::Client& m_client;
+  BackendClient& m_client;
   const EngineProtocol& m_protocol;
   RewardCallerOptions m_options;
   observe::Instruments& m_instruments;
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -93,8 +93,11 @@
   m_replica = std::move(*opened);
   m_queries = std::make_unique<QueryServer>(
     m_loop, *m_replica, [this] { return GetDirectorySource(); });
-  m_client = std::make_unique<http::Client>(
-    m_loop, MakeClientOptions(m_options.m_responseLimits));
+  m_client = std::make_unique<BackendClient>(
+    m_loop,
+    MakeClientOptions(m_options.m_responseLimits),
+    m_options.m_readStatement,
+    *m_options.m_instruments);
   m_engines = std::make_unique<EnginePool>(
     m_loop,
     *m_client,
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_FLEET_STORE_SERVICE_HPP
 
 #include "auburntrestle/event_loop/event_loop.hpp"
+#include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/directory_confirmation.hpp"
 #include "auburntrestle/fleet/engine_pool.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
@@ -9,7 +10,6 @@
 #include "auburntrestle/fleet/leader_link.hpp"
 #include "auburntrestle/fleet/query_server.hpp"
 #include "auburntrestle/fleet/replica.hpp"
-#include "auburntrestle/http/client.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <tl/expected.hpp>
@@ -153,7 +153,7 @@
   std::unique_ptr<Replica> m_replica;
   std::unique_ptr<QueryServer> m_queries;
   std::unique_ptr<LeaderLink> m_link;
-  std::unique_ptr<http::Client> m_client;
+  std::unique_ptr<BackendClient> m_client;
   std::unique_ptr<EnginePool> m_engines;
   std::unique_ptr<RewardCaller> m_rewards;
   std::unique_ptr<JobRunner> m_runner;
--- a/src/auburntrestle/http/client.cpp
+++ b/src/auburntrestle/http/client.cpp
@@ -81,31 +81,34 @@
   return m_pool->m_receivedBytes;
 }
 
+CallHandlers CollectResponse(std::function<void(FetchResult)> aCallback)
+{
+  auto response = std::make_shared<Response>();
+  return CallHandlers{ [response](const ResponseHead& aHead) {
+                        response->m_status = aHead.m_status;
+                        response->m_headers = aHead.m_headers;
+                      },
+                       [response](std::string_view aBody) {
+                         response->m_body.append(aBody);
+                       },
+                       [response, callback = std::move(aCallback)](
+                         tl::expected<void, CallFailure> aResult) {
+                         if (aResult) {
+                           callback(std::move(*response));
+                         } else {
+                           callback(tl::make_unexpected(aResult.error()));
+                         }
+                       } };
+}
+
 std::shared_ptr<Call> Fetch(Client& aClient,
                             const std::string& aAddress,
                             const Request& aRequest,
                             const CallOptions& aOptions,
                             std::function<void(FetchResult)> aCallback)
 {
-  auto response = std::make_shared<Response>();
   return aClient.Start(
-    aAddress,
-    aRequest,
-    aOptions,
-    CallHandlers{
-      [response](const ResponseHead& aHead) {
-        response->m_status = aHead.m_status;
-        response->m_headers = aHead.m_headers;
-      },
-      [response](std::string_view aBody) { response->m_body.append(aBody); },
-      [response, callback = std::move(aCallback)](
-        tl::expected<void, CallFailure> aResult) {
-        if (aResult) {
-          callback(std::move(*response));
-        } else {
-          callback(tl::make_unexpected(aResult.error()));
-        }
-      } });
+    aAddress, aRequest, aOptions, CollectResponse(std::move(aCallback)));
 }
 
 } // namespace auburntrestle::http
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -131,6 +131,10 @@
 /** A complete response, or why there is none. */
 using FetchResult = tl::expected<Response, CallFailure>;
 
+/** @return handlers that collect the complete response of a call. */
+[[nodiscard]] CallHandlers CollectResponse(
+  std::function<void(FetchResult)> aCallback);
+
 /** Sends a request and collects the complete response. */
 [[nodiscard]] std::shared_ptr<Call> Fetch(
   Client& aClient,
