Keep items and reward calls within the rate limits of servers

A model engine in trouble got items as fast as slots were free, whatever rate it stated.

Cause: the leader counted slots only. Limits were read but nothing asked them.

ItemsKeepTheRateLimitOfASampler failed before: 26 requests within 4 s at a limit of 3 a second, where 23 are allowed.

Now requests to a limited server are spaced by its rate, with those of one second at once after a pause. An engine without a permit takes no items until the next one; reports and orders need no permit and delay it. A limited backend server without a permit gets no reward call.

--- a/src/auburntrestle/fleet/backend_chooser.cpp
+++ b/src/auburntrestle/fleet/backend_chooser.cpp
@@ -54,7 +54,7 @@
   bool bestAvoided = false;
   for (const auto& [id, backend] : m_backends) {
     if (backend.m_record.m_service != aService || backend.m_misdirected ||
-        aExclude.contains(id) || IsFull(backend)) {
+        aExclude.contains(id) || IsFull(backend) || PermitOf(backend) > aNow) {
       continue;
     }
     const double latency =
@@ -93,6 +93,13 @@
   return aBackend.m_inFlight >= std::max(std::floor(slots), 1.0);
 }
 
+TimePoint BackendChooser::PermitOf(const Backend& aBackend) const
+{
+  return m_rateLimits == nullptr
+           ? TimePoint{}
+           : m_rateLimits->NextPermit(aBackend.m_record.Process());
+}
+
 void BackendChooser::DecrementInFlight(Backend& aBackend)
 {
   aBackend.m_inFlight -= aBackend.m_inFlight > 0 ? 1 : 0;
--- a/src/auburntrestle/fleet/backend_chooser.hpp
+++ b/src/auburntrestle/fleet/backend_chooser.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_FLEET_BACKEND_CHOOSER_HPP
 
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/backend_rate_limits.hpp"
 #include "auburntrestle/fleet/backend_record.hpp"
 
 #include <cstdint>
@@ -36,6 +37,13 @@
   /** @param aHome the data centre of this instance. */
   explicit BackendChooser(DataCentreId aHome, ChooserLimits aLimits = {});
 
+  /** Sets the limits that backend servers stated; one without a permit is not
+   * chosen. @param aLimits must outlive the chooser. */
+  void SetRateLimits(const BackendRateLimits& aLimits) noexcept
+  {
+    m_rateLimits = &aLimits;
+  }
+
   /** Replaces the backend servers. */
   void SetBackends(const std::vector<BackendRecord>& aBackends);
 
@@ -80,11 +88,14 @@
   };
 
   [[nodiscard]] bool IsFull(const Backend& aBackend) const;
+  /** @return when a request may be sent to a backend server. */
+  [[nodiscard]] TimePoint PermitOf(const Backend& aBackend) const;
   void DecrementInFlight(Backend& aBackend);
   void Avoid(const BackendId& aId, Duration aTime, TimePoint aNow);
 
   DataCentreId m_home;
   ChooserLimits m_limits;
+  const BackendRateLimits* m_rateLimits = nullptr;
   std::map<BackendId, Backend> m_backends;
 };
 
--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -151,7 +151,13 @@
   if (found == m_engines.end()) {
     return;
   }
+  const TimePoint now = MonotonicClock::Now();
   const Engine& engine = found->second;
+  const TimePoint permit =
+    m_client.Limits().NextPermit(engine.m_record.Process());
+  if (permit > now) {
+    SchedulePermit(aId, permit - now);
+  }
   EngineView view;
   view.m_service = engine.m_record.m_service;
   view.m_slots = engine.m_slots;
@@ -161,7 +167,7 @@
   }
   view.m_accepting = engine.m_versionsKnown &&
                      engine.m_record.m_state == BackendState::Serving &&
-                     engine.m_avoidUntil <= MonotonicClock::Now();
+                     engine.m_avoidUntil <= now && permit <= now;
   m_scheduler.SetEngine(aId, view);
 }
 
@@ -198,6 +204,37 @@
   }
 }
 
+void EnginePool::RefreshPermit(const BackendId& aEngine)
+{
+  const auto found = m_engines.find(aEngine);
+  if (found == m_engines.end()) {
+    return;
+  }
+  Engine& engine = found->second;
+  const bool limited =
+    m_client.Limits().LimitOf(engine.m_record.Process()).has_value();
+  if (std::exchange(engine.m_limited, limited) || limited) {
+    UpdateScheduler(aEngine);
+  }
+}
+
+void EnginePool::SchedulePermit(const BackendId& aId, Duration aWait)
+{
+  Engine& engine = m_engines.at(aId);
+  if (std::exchange(engine.m_permitScheduled, true)) {
+    return;
+  }
+  RunAfter(aWait, [this, aId] {
+    const auto found = m_engines.find(aId);
+    if (found == m_engines.end()) {
+      return;
+    }
+    found->second.m_permitScheduled = false;
+    UpdateScheduler(aId);
+    m_onChange();
+  });
+}
+
 void EnginePool::RecordSuccess(const BackendId& aEngine)
 {
   const auto found = m_engines.find(aEngine);
--- a/src/auburntrestle/fleet/engine_pool.hpp
+++ b/src/auburntrestle/fleet/engine_pool.hpp
@@ -81,6 +81,9 @@
   void RecordFailure(const BackendId& aEngine);
   /** Records that an engine had no free slot; it is avoided briefly. */
   void RecordFull(const BackendId& aEngine);
+  /** Updates an engine after a request to it or the head of a response, either
+   * of which may change when the next request is permitted. */
+  void RefreshPermit(const BackendId& aEngine);
   /** Records a completed item; resets the backoff of the engine. */
   void RecordSuccess(const BackendId& aEngine);
   /** Records that another process answers at the engine's address. */
@@ -124,6 +127,10 @@
     /** Not used before this time. */
     TimePoint m_avoidUntil{};
     std::uint32_t m_failures = 0;
+    /** The engine stated a rate limit when its permit was last refreshed. */
+    bool m_limited = false;
+    /** An update of the scheduler at the next permit is scheduled. */
+    bool m_permitScheduled = false;
   };
 
   void ReadReport(const BackendId& aId);
@@ -141,6 +148,8 @@
   /** Treats a load as completed at its expected end, before a report. */
   void AssumeLoaded(const WeightLoad& aLoad);
   void Avoid(Engine& aEngine, Duration aTime);
+  /** Updates the scheduler at the next permit of an engine. */
+  void SchedulePermit(const BackendId& aId, Duration aWait);
   /** Passes the state of an engine on to the scheduler. */
   void UpdateScheduler(const BackendId& aId);
   [[nodiscard]] Engine* Find(const BackendId& aId, Incarnation aIncarnation);
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -270,6 +270,7 @@
       [this, aItem](tl::expected<void, http::CallFailure> aResult) {
         OnDone(aItem, aResult);
       } });
+  m_engines.RefreshPermit(aEngine);
 }
 
 void JobRunner::OnHead(const ItemPtr& aItem, const http::ResponseHead& aHead)
@@ -277,6 +278,7 @@
   if (!aItem->m_engine) {
     return;
   }
+  m_engines.RefreshPermit(*aItem->m_engine);
   const JobSpec& spec = *aItem->m_job->m_spec;
   aItem->m_head =
     m_protocol.m_readItemHead(spec.m_items[aItem->m_index], aHead);
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -30,6 +31,8 @@
    * proper response. Absent for 200. */
   std::function<int(const std::string&)> m_plainStatus;
   std::function<void(const Json&)> m_onOrder;
+  /** The rate limit that all responses state; absent for none. */
+  std::optional<double> m_rateLimit;
 };
 
 /** A fake sampler that implements the platform's protocol. */
@@ -93,6 +96,15 @@
     return m_executed;
   }
   [[nodiscard]] const std::vector<Json>& Orders() const { return m_orders; }
+  /** @return when requests of any kind arrived. */
+  [[nodiscard]] const std::vector<TimePoint>& Arrivals() const
+  {
+    return m_arrivals;
+  }
+  void SetRateLimit(std::optional<double> aLimit)
+  {
+    m_options.m_rateLimit = aLimit;
+  }
 
   /** @return the body of a heartbeat. */
   [[nodiscard]] std::string Heartbeat(const std::string& aService,
@@ -125,7 +137,12 @@
 
   void HandleExchange(const std::shared_ptr<http::Exchange>& aExchange)
   {
-    const auto response = MakeResponse(aExchange->GetRequest());
+    m_arrivals.push_back(MonotonicClock::Now());
+    auto response = MakeResponse(aExchange->GetRequest());
+    if (m_options.m_rateLimit) {
+      response.m_headers.Add(names::kRateLimit,
+                             std::to_string(*m_options.m_rateLimit));
+    }
     const bool ran = response.m_headers.Find(names::kSignature).has_value();
     if (!ran || m_options.m_runTime == Duration::zero()) {
       aExchange->Respond(response);
@@ -200,6 +217,7 @@
   int m_sequence = 0;
   std::vector<std::string> m_executed;
   std::vector<Json> m_orders;
+  std::vector<TimePoint> m_arrivals;
   std::unique_ptr<http::Server> m_server;
 };
 
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -38,12 +38,10 @@
       m_peers.push_back(m_ports.Address());
       m_controls.push_back(m_ports.Address());
     }
-    m_callers = m_ports.Address();
-    m_readiness = m_ports.Address();
     for (int store = 0; store < kStores; ++store) {
       StartStore(store, true);
     }
-    StartEntry();
+    m_callers = StartEntry("entry");
   }
 
   ~WholePathTest() override
@@ -53,6 +51,7 @@
   }
 
   static constexpr int kStores = 3;
+  static constexpr std::chrono::seconds kWindow{ 4 };
   void Start(const InstanceFile& aFile)
   {
     m_processes.insert_or_assign(aFile.m_name, aFile.Start(m_folder, m_peers));
@@ -69,14 +68,43 @@
     Start(file);
   }
 
-  void StartEntry()
+  /** @return the address for callers. */
+  std::string StartEntry(const std::string& aName)
   {
     InstanceFile file;
-    file.m_name = "entry";
+    file.m_name = aName;
     file.m_peers = m_ports.Address();
-    file.m_callers = m_callers;
-    file.m_readiness = m_readiness;
+    file.m_callers = m_ports.Address();
+    file.m_readiness = m_ports.Address();
     Start(file);
+    m_readiness = file.m_readiness;
+    return file.m_callers;
+  }
+
+  /** @return the most requests that the users want a sampler to get within 4 s
+   * while it states a limit. */
+  [[nodiscard]] static std::size_t MaxArrivals(double aLimit)
+  {
+    constexpr double kTolerance = 1.5;
+    constexpr double kAllowance = 5;
+    return static_cast<std::size_t>(
+      kTolerance * aLimit * static_cast<double>(kWindow.count()) + kAllowance);
+  }
+
+  /** @return the most requests that the sampler got within 4 s.
+   * @param aFirst number of requests to leave out. */
+  [[nodiscard]] std::size_t MostArrivalsInWindow(std::size_t aFirst) const
+  {
+    const auto& arrivals = m_sampler.Arrivals();
+    std::size_t most = 0;
+    for (auto first = arrivals.begin() + static_cast<std::ptrdiff_t>(aFirst);
+         first != arrivals.end();
+         ++first) {
+      const auto end =
+        std::lower_bound(first, arrivals.end(), *first + kWindow);
+      most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
   }
 
   http::FetchResult Send(const std::string& aAddress,
@@ -378,6 +406,22 @@
   EXPECT_EQ(std::count(executed.begin(), executed.end(), "item1"), 1);
 }
 
+// Guards against a leader that sends items to a sampler in trouble as fast as
+// slots are free.
+TEST_F(WholePathTest, ItemsKeepTheRateLimitOfASampler)
+{
+  constexpr double kLimit = 3;
+  constexpr int kItems = 26;
+  m_sampler.SetRateLimit(kLimit);
+  SetUpService();
+  const std::size_t before = m_sampler.Arrivals().size();
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(kItems), "job-1");
+  for (const auto& result : ReadAllResults("job-1")) {
+    EXPECT_EQ(result["state"], "completed");
+  }
+  EXPECT_LE(MostArrivalsInWindow(before), MaxArrivals(kLimit));
+}
+
 TEST_F(WholePathTest, ALeavingSamplerGetsNoWork)
 {
   SetUpService();
