Share the rate limit of a backend server among all instances

Cause: each entry instance chooses backend servers from what it knows itself; nobody counted the requests of all.

Now an entry instance that was told a limit asks the leader for a permit before each request to that server, and goes to another one, or refuses with the time until the next permit, if there is none. Hedges never go to a limited server. An even share for each instance would be less than a request a minute at 66 entry instances. Without a reply of the leader within 100 ms the request goes elsewhere.

--- a/src/auburntrestle/fleet/backend_chooser.cpp
+++ b/src/auburntrestle/fleet/backend_chooser.cpp
@@ -100,6 +100,20 @@
            : m_rateLimits->NextPermit(aBackend.m_record.Process());
 }
 
+std::optional<TimePoint> BackendChooser::NextPermit(const ServiceName& aService,
+                                                    TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  for (const auto& [id, backend] : m_backends) {
+    const TimePoint permit = PermitOf(backend);
+    if (backend.m_record.m_service == aService && permit > aNow &&
+        (!next || permit < *next)) {
+      next = permit;
+    }
+  }
+  return next;
+}
+
 void BackendChooser::DecrementInFlight(Backend& aBackend)
 {
   aBackend.m_inFlight -= aBackend.m_inFlight > 0 ? 1 : 0;
--- a/src/auburntrestle/fleet/backend_chooser.hpp
+++ b/src/auburntrestle/fleet/backend_chooser.hpp
@@ -74,6 +74,10 @@
    * servers, or nothing while none is known. */
   [[nodiscard]] std::optional<Duration> MedianLatency(
     const ServiceName& aService) const;
+  /** @return when a backend server of a service may next be chosen that now
+   * lacks a permit; nothing if there is none. */
+  [[nodiscard]] std::optional<TimePoint> NextPermit(const ServiceName& aService,
+                                                    TimePoint aNow) const;
 
 private:
   struct Backend
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -25,6 +25,9 @@
 /** Callers read results about twice a second, and try another instance when a
  * read takes much longer. */
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1300);
+constexpr Duration kPermitTimeout = std::chrono::milliseconds(100);
+constexpr Duration kMinPermitDelay = std::chrono::milliseconds(10);
+constexpr Duration kPermitRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kEndJobTimeout = std::chrono::milliseconds(2000);
 
 } // namespace
@@ -41,14 +44,19 @@
              m_options.m_readStatement,
              *m_options.m_instruments)
   , m_chooser(m_options.m_dataCentre)
-  , m_relay(aLoop,
-            m_client,
-            m_chooser,
-            std::move(aHeaders),
-            aRelay,
-            *m_options.m_instruments)
+  , m_relay(
+      aLoop,
+      m_client,
+      m_chooser,
+      std::move(aHeaders),
+      aRelay,
+      [this](const RequestPermit& aRequest, auto aCallback) {
+        AskForPermit(aRequest, std::move(aCallback));
+      },
+      *m_options.m_instruments)
   , m_watches(m_options.m_self, m_options.m_dataCentre)
 {
+  m_chooser.SetRateLimits(m_client.Limits());
 }
 
 EntryService::~EntryService()
@@ -200,6 +208,29 @@
                 service ? *service : ServiceName());
 }
 
+void EntryService::AskForPermit(
+  const RequestPermit& aRequest,
+  std::function<void(std::optional<Duration>)> aCallback)
+{
+  m_link->SendQuery(aRequest,
+                    kPermitTimeout,
+                    Duration::zero(),
+                    [callback = std::move(aCallback)](
+                      const tl::expected<ReplyBody, LinkError>& aReply) {
+                      const auto* view =
+                        aReply ? std::get_if<PermitView>(&*aReply) : nullptr;
+                      if (view == nullptr) {
+                        // Without the leader nobody knows what the other
+                        // instances send.
+                        callback(kPermitRetryDelay);
+                      } else if (view->m_granted) {
+                        callback(std::nullopt);
+                      } else {
+                        callback(std::max(view->m_retryAfter, kMinPermitDelay));
+                      }
+                    });
+}
+
 void EntryService::SubmitJob(JobSpec aSpec,
                              Duration aTimeout,
                              std::function<void(SubmitOutcome)> aCallback)
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -92,6 +92,9 @@
   void HandleWatchReply(const WatchRequest& aRequest,
                         const tl::expected<ReplyBody, LinkError>& aReply);
   void HandleDirectory(const DirectoryView& aView);
+  /** Asks the leader for a permit; see PermitFunction. */
+  void AskForPermit(const RequestPermit& aRequest,
+                    std::function<void(std::optional<Duration>)> aCallback);
   void ApplyConfiguration(const ConfigurationView& aView);
 
   event_loop::EventLoop& m_loop;
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -206,6 +206,17 @@
            Appended{ aQuery.m_versionsOnly });
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::RequestPermit> auto& aQuery)
+{
+  aArchive(
+    aQuery.m_backend.m_id, aQuery.m_backend.m_incarnation, aQuery.m_limit);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::PermitView> auto& aView)
+{
+  aArchive(aView.m_granted, aView.m_retryAfter);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::LeaderNotice> auto& aNotice)
 {
   aArchive(aNotice.m_term, aNotice.m_leader, aNotice.m_members);
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_FLEET_MESSAGES_HPP
 
 #include "auburntrestle/fleet/backend_record.hpp"
+#include "auburntrestle/fleet/backend_statement.hpp"
 #include "auburntrestle/fleet/commands.hpp"
 #include "auburntrestle/fleet/job.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
@@ -89,8 +90,20 @@
   bool m_versionsOnly = false;
 };
 
-using Query =
-  std::variant<ReadJob, ReadItem, ReadConfiguration, ReadRetirement, Watch>;
+/** Asks for a permit to send a request to a backend server that stated a rate
+ * limit; the reply is a PermitView. */
+struct RequestPermit
+{
+  BackendProcess m_backend;
+  RequestRate m_limit;
+};
+
+using Query = std::variant<ReadJob,
+                           ReadItem,
+                           ReadConfiguration,
+                           ReadRetirement,
+                           Watch,
+                           RequestPermit>;
 
 /** The reply to a proposed command. */
 struct CommandReply
@@ -162,12 +175,21 @@
   std::vector<Relay> m_relays = {};
 };
 
+/** Whether a request may be sent to a backend server. */
+struct PermitView
+{
+  bool m_granted = false;
+  /** The time until the next permit, if none was granted. */
+  Duration m_retryAfter{};
+};
+
 using ReplyBody = std::variant<CommandReply,
                                JobView,
                                ItemView,
                                ConfigurationView,
                                RetirementView,
-                               DirectoryView>;
+                               DirectoryView,
+                               PermitView>;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -20,12 +20,15 @@
 
 } // namespace
 
-QueryServer::QueryServer(event_loop::EventLoop& aLoop,
-                         Replica& aReplica,
-                         std::function<DirectorySource()> aGetSource)
+QueryServer::QueryServer(
+  event_loop::EventLoop& aLoop,
+  Replica& aReplica,
+  std::function<DirectorySource()> aGetSource,
+  std::function<PermitView(const RequestPermit&)> aGrantPermit)
   : m_loop(aLoop)
   , m_replica(aReplica)
   , m_getSource(std::move(aGetSource))
+  , m_grantPermit(std::move(aGrantPermit))
 {
 }
 
@@ -149,6 +152,11 @@
   return ReplyBody(MakeDirectoryView(aQuery));
 }
 
+std::optional<ReplyBody> QueryServer::TryRead(const RequestPermit& aQuery) const
+{
+  return ReplyBody(m_grantPermit(aQuery));
+}
+
 void QueryServer::ConfirmAndAnswer(
   const Query& aQuery,
   std::function<void(std::optional<ReplyBody>)> aCallback)
@@ -161,36 +169,37 @@
       }
       const State& state = m_replica.GetState();
       std::visit(
-        Overloaded{ [&](const ReadJob& aRead) {
-                     ReadJob read = aRead;
-                     read.m_wait = Duration::zero();
-                     const auto now = TryRead(read);
-                     callback(now ? *now : ReplyBody(JobView{}));
-                   },
-                    [&](const ReadItem& aRead) {
-                      const auto now = TryRead(aRead);
-                      callback(now ? *now : ReplyBody(ItemView{}));
-                    },
-                    [&](const ReadConfiguration&) {
-                      callback(ReplyBody(state.Configuration()));
-                    },
-                    [&](const ReadRetirement& aRead) {
-                      RetirementView view;
-                      if (state.IsRetiringMachine(aRead.m_machine)) {
-                        view.m_state = Retirement::Completed;
-                        const auto members = m_replica.Status().m_configuration;
-                        for (const auto& instance :
-                             state.InstancesOf(aRead.m_machine)) {
-                          if (members.FindInstance(instance) != nullptr) {
-                            view.m_state = Retirement::Running;
-                          }
-                        }
-                      }
-                      callback(ReplyBody(view));
-                    },
-                    [&](const Watch& aWatch) {
-                      callback(ReplyBody(MakeDirectoryView(aWatch)));
-                    } },
+        Overloaded{
+          [&](const ReadJob& aRead) {
+            ReadJob read = aRead;
+            read.m_wait = Duration::zero();
+            const auto now = TryRead(read);
+            callback(now ? *now : ReplyBody(JobView{}));
+          },
+          [&](const ReadItem& aRead) {
+            const auto now = TryRead(aRead);
+            callback(now ? *now : ReplyBody(ItemView{}));
+          },
+          [&](const ReadConfiguration&) {
+            callback(ReplyBody(state.Configuration()));
+          },
+          [&](const ReadRetirement& aRead) {
+            RetirementView view;
+            if (state.IsRetiringMachine(aRead.m_machine)) {
+              view.m_state = Retirement::Completed;
+              const auto members = m_replica.Status().m_configuration;
+              for (const auto& instance : state.InstancesOf(aRead.m_machine)) {
+                if (members.FindInstance(instance) != nullptr) {
+                  view.m_state = Retirement::Running;
+                }
+              }
+            }
+            callback(ReplyBody(view));
+          },
+          [&](const Watch& aWatch) {
+            callback(ReplyBody(MakeDirectoryView(aWatch)));
+          },
+          [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); } },
         aQuery);
     });
 }
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -36,10 +36,12 @@
   /**
    * @param aReplica must outlive the server.
    * @param aGetSource provides the source of a view at the time of its reply.
+   * @param aGrantPermit decides on a request for a permit.
    */
   QueryServer(event_loop::EventLoop& aLoop,
               Replica& aReplica,
-              std::function<DirectorySource()> aGetSource);
+              std::function<DirectorySource()> aGetSource,
+              std::function<PermitView(const RequestPermit&)> aGrantPermit);
   QueryServer(const QueryServer&) = delete;
   QueryServer& operator=(const QueryServer&) = delete;
 
@@ -67,6 +69,8 @@
   [[nodiscard]] std::optional<ReplyBody> TryRead(
     const ReadRetirement& aQuery) const;
   [[nodiscard]] std::optional<ReplyBody> TryRead(const Watch& aQuery) const;
+  [[nodiscard]] std::optional<ReplyBody> TryRead(
+    const RequestPermit& aQuery) const;
   [[nodiscard]] DirectoryView MakeDirectoryView(const Watch& aQuery) const;
   void ConfirmAndAnswer(const Query& aQuery, ReplyCallback aCallback);
   void Defer(const Query& aQuery, Duration aMaxWait, ReplyCallback aCallback);
@@ -75,6 +79,7 @@
   event_loop::EventLoop& m_loop;
   Replica& m_replica;
   std::function<DirectorySource()> m_getSource;
+  std::function<PermitView(const RequestPermit&)> m_grantPermit;
   std::list<DeferredQuery> m_deferred;
   bool m_answerScheduled = false;
 };
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -78,6 +78,8 @@
   std::vector<std::shared_ptr<Attempt>> m_running;
   /** A backend server may have run the request. */
   bool m_mayHaveRun = false;
+  /** A permit has been asked for. */
+  bool m_awaitsPermit = false;
   /** The last error response (status 5xx) of a backend server. */
   std::optional<http::Response> m_errorResponse;
   std::optional<timer::TimerId> m_deadlineTimer;
@@ -90,12 +92,14 @@
                            BackendChooser& aChooser,
                            RequestHeaders aHeaders,
                            RelayOptions aOptions,
+                           PermitFunction aRequestPermit,
                            observe::Instruments& aInstruments)
   : m_loop(aLoop)
   , m_client(aClient)
   , m_chooser(aChooser)
   , m_headers(std::move(aHeaders))
   , m_options(aOptions)
+  , m_requestPermit(std::move(aRequestPermit))
   , m_instruments(aInstruments)
 {
 }
@@ -142,18 +146,57 @@
   StartAttempt(relayed);
 }
 
-void RequestRelay::StartAttempt(const std::shared_ptr<RelayedRequest>& aRelayed)
+const BackendRecord* RequestRelay::Choose(const RelayedRequest& aRelayed) const
 {
   const TimePoint now = MonotonicClock::Now();
-  const Duration left = aRelayed->m_deadline - now;
-  const BackendRecord* backend =
-    aRelayed->m_tried.size() < aRelayed->m_maxAttempts && left > kMinTimeLeft
-      ? m_chooser.Choose(aRelayed->m_service, aRelayed->m_tried, now)
-      : nullptr;
+  const bool mayTry = aRelayed.m_tried.size() < aRelayed.m_maxAttempts &&
+                      aRelayed.m_deadline - now > kMinTimeLeft;
+  return mayTry ? m_chooser.Choose(aRelayed.m_service, aRelayed.m_tried, now)
+                : nullptr;
+}
+
+void RequestRelay::StartAttempt(const std::shared_ptr<RelayedRequest>& aRelayed)
+{
+  const BackendRecord* backend = Choose(*aRelayed);
   if (backend == nullptr) {
     RetryOrFinish(aRelayed);
-    return;
+  } else if (const auto limit = m_client.Limits().LimitOf(backend->Process())) {
+    StartWithPermit(aRelayed, *backend, *limit);
+  } else {
+    Send(aRelayed, *backend);
   }
+}
+
+void RequestRelay::StartWithPermit(
+  const std::shared_ptr<RelayedRequest>& aRelayed,
+  const BackendRecord& aBackend,
+  RequestRate aLimit)
+{
+  aRelayed->m_awaitsPermit = true;
+  m_requestPermit(
+    RequestPermit{ aBackend.Process(), aLimit },
+    [this, aRelayed, backend = aBackend](std::optional<Duration> aWait) {
+      aRelayed->m_awaitsPermit = false;
+      const TimePoint now = MonotonicClock::Now();
+      if (aWait) {
+        m_client.Limits().RecordNoPermit(backend.Process(), now + *aWait);
+      }
+      if (aRelayed->m_done) {
+        return;
+      }
+      if (aWait) {
+        StartAttempt(aRelayed);
+      } else {
+        Send(aRelayed, backend);
+      }
+    });
+}
+
+void RequestRelay::Send(const std::shared_ptr<RelayedRequest>& aRelayed,
+                        const BackendRecord& aBackend)
+{
+  const TimePoint now = MonotonicClock::Now();
+  const Duration left = aRelayed->m_deadline - now;
   const auto& received = aRelayed->m_exchange->GetRequest();
   http::Request request;
   request.m_method = received.m_method;
@@ -164,17 +207,17 @@
     m_headers.m_timeLeftMs,
     std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
-  request.m_headers.Set(m_headers.m_expectedBackend, backend->m_id.Get());
+  request.m_headers.Set(m_headers.m_expectedBackend, aBackend.m_id.Get());
   auto attempt = std::make_shared<Attempt>();
-  attempt->m_backend = backend->m_id;
+  attempt->m_backend = aBackend.m_id;
   attempt->m_sentAt = now;
-  aRelayed->m_tried.insert(backend->m_id);
+  aRelayed->m_tried.insert(aBackend.m_id);
   aRelayed->m_running.push_back(attempt);
-  m_chooser.RecordSent(backend->m_id);
+  m_chooser.RecordSent(aBackend.m_id);
   http::CallOptions options;
   options.m_timeout = left;
   attempt->m_call =
-    m_client.Fetch(*backend,
+    m_client.Fetch(aBackend,
                    request,
                    options,
                    [this, aRelayed, attempt](http::FetchResult aResponse) {
@@ -185,9 +228,15 @@
 
 void RequestRelay::StartHedge(const std::shared_ptr<RelayedRequest>& aRelayed)
 {
-  if (!aRelayed->m_done && aRelayed->m_running.size() == 1) {
+  if (aRelayed->m_done || aRelayed->m_awaitsPermit ||
+      aRelayed->m_running.size() != 1) {
+    return;
+  }
+  const BackendRecord* backend = Choose(*aRelayed);
+  // The rate of a limited backend server is left to requests that need it.
+  if (backend != nullptr && !m_client.Limits().LimitOf(backend->Process())) {
     m_instruments.Count(observe::counters::kHedges, aRelayed->m_service.Get());
-    StartAttempt(aRelayed);
+    Send(aRelayed, *backend);
   }
 }
 
@@ -273,16 +322,12 @@
 void RequestRelay::RetryOrFinish(
   const std::shared_ptr<RelayedRequest>& aRelayed)
 {
-  if (!aRelayed->m_running.empty()) {
+  if (!aRelayed->m_running.empty() || aRelayed->m_awaitsPermit) {
     // The other attempt may still succeed.
     return;
   }
-  const TimePoint now = MonotonicClock::Now();
   const bool mayRepeat = aRelayed->m_idempotent || !aRelayed->m_mayHaveRun;
-  if (mayRepeat && aRelayed->m_tried.size() < aRelayed->m_maxAttempts &&
-      aRelayed->m_deadline - now > kMinTimeLeft &&
-      m_chooser.Choose(aRelayed->m_service, aRelayed->m_tried, now) !=
-        nullptr) {
+  if (mayRepeat && Choose(*aRelayed) != nullptr) {
     StartAttempt(aRelayed);
     return;
   }
@@ -327,6 +372,14 @@
                                   aRelayed.m_exchange->ReceivedAt());
 }
 
+Duration RequestRelay::RetryAfter(const RelayedRequest& aRelayed) const
+{
+  const TimePoint now = MonotonicClock::Now();
+  const auto permit = m_chooser.NextPermit(aRelayed.m_service, now);
+  return permit ? std::max(*permit - now, m_options.m_retryAfter)
+                : m_options.m_retryAfter;
+}
+
 void RequestRelay::Refuse(const std::shared_ptr<RelayedRequest>& aRelayed,
                           int aStatus)
 {
@@ -345,7 +398,7 @@
   RecordMetrics(*aRelayed, aStatus);
   http::Response response;
   if (aStatus == kStatusUnavailable) {
-    response = NotRunResponse(m_options.m_retryAfter);
+    response = NotRunResponse(RetryAfter(*aRelayed));
   } else {
     response.m_status = aStatus;
   }
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -4,11 +4,13 @@
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_chooser.hpp"
 #include "auburntrestle/fleet/backend_client.hpp"
+#include "auburntrestle/fleet/messages.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/http/server.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +43,13 @@
   double m_hedgeDelayShare = 0.45;
 };
 
+/** Asks whether a request may be sent to a backend server that stated a rate
+ * limit. The callback receives nothing if it may, otherwise the time after
+ * which it is worth asking again. */
+using PermitFunction =
+  std::function<void(const RequestPermit&,
+                     std::function<void(std::optional<Duration>)>)>;
+
 /**
  * Relays requests whose response is not streamed. A response is forwarded only
  * when it is complete and its request id matches. An idempotent request is
@@ -55,6 +64,7 @@
                BackendChooser& aChooser,
                RequestHeaders aHeaders,
                RelayOptions aOptions,
+               PermitFunction aRequestPermit,
                observe::Instruments& aInstruments);
 
   /**
@@ -74,6 +84,16 @@
   struct Attempt;
 
   void StartAttempt(const std::shared_ptr<RelayedRequest>& aRelayed);
+  /** Sends a request once another instance has granted a permit for it. */
+  void StartWithPermit(const std::shared_ptr<RelayedRequest>& aRelayed,
+                       const BackendRecord& aBackend,
+                       RequestRate aLimit);
+  void Send(const std::shared_ptr<RelayedRequest>& aRelayed,
+            const BackendRecord& aBackend);
+  /** @return the Retry-After of a refusal. */
+  [[nodiscard]] Duration RetryAfter(const RelayedRequest& aRelayed) const;
+  [[nodiscard]] const BackendRecord* Choose(
+    const RelayedRequest& aRelayed) const;
   void StartHedge(const std::shared_ptr<RelayedRequest>& aRelayed);
   void HandleResponse(const std::shared_ptr<RelayedRequest>& aRelayed,
                       const std::shared_ptr<Attempt>& aAttempt,
@@ -97,6 +117,7 @@
   BackendChooser& m_chooser;
   RequestHeaders m_headers;
   RelayOptions m_options;
+  PermitFunction m_requestPermit;
   observe::Instruments& m_instruments;
 };
 
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -92,7 +92,10 @@
   }
   m_replica = std::move(*opened);
   m_queries = std::make_unique<QueryServer>(
-    m_loop, *m_replica, [this] { return GetDirectorySource(); });
+    m_loop,
+    *m_replica,
+    [this] { return GetDirectorySource(); },
+    [this](const RequestPermit& aRequest) { return GrantPermit(aRequest); });
   m_client = std::make_unique<BackendClient>(
     m_loop,
     MakeClientOptions(m_options.m_responseLimits),
@@ -241,6 +244,15 @@
   m_replica->SetKnownMembers(m_notice.m_members);
 }
 
+PermitView StoreService::GrantPermit(const RequestPermit& aRequest)
+{
+  const auto wait = m_client->Limits().Grant(
+    aRequest.m_backend, aRequest.m_limit, MonotonicClock::Now());
+  m_options.m_instruments->Count(observe::counters::kPermits,
+                                 wait ? "refused" : "granted");
+  return { !wait, wait.value_or(Duration::zero()) };
+}
+
 std::optional<InstanceId> StoreService::KnownLeader() const
 {
   if (auto leader = m_replica->Leader()) {
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -101,6 +101,10 @@
   /** @return the leader known to the replica, or named by a recent notice. */
   [[nodiscard]] std::optional<InstanceId> KnownLeader() const;
 
+  /** Decides on another instance's request to a backend server with a rate
+   * limit; to be called on the leader. */
+  [[nodiscard]] PermitView GrantPermit(const RequestPermit& aRequest);
+
   /** Proposes the command of a control call, and logs a failure.
    * @param aCall the kind of call, for the log; must be a literal. */
   void ProposeControl(const Command& aCommand,
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -422,6 +422,45 @@
   EXPECT_LE(MostArrivalsInWindow(before), MaxArrivals(kLimit));
 }
 
+// Guards against entry instances that each take the rate limit of a sampler for
+// their own.
+TEST_F(WholePathTest, EntryInstancesShareTheRateLimitOfASampler)
+{
+  constexpr double kLimit = 2;
+  constexpr Duration kPlayTime = std::chrono::seconds(7);
+  constexpr Duration kMaxWait = std::chrono::milliseconds(500);
+  const auto second = StartEntry("second");
+  m_sampler.SetRateLimit(kLimit);
+  SetUpService();
+  SendUntil(200, { second }, "POST", "/plain/x", "first", "request-1");
+  const std::size_t before = m_sampler.Arrivals().size();
+  const TimePoint end = MonotonicClock::Now() + kPlayTime;
+  int request = 2;
+  int served = 0;
+  while (MonotonicClock::Now() < end) {
+    const TimePoint sent = MonotonicClock::Now();
+    const auto response = Send(request % 2 == 0 ? m_callers : second,
+                               "POST",
+                               "/plain/x",
+                               "query",
+                               "request-" + std::to_string(request));
+    ++request;
+    ASSERT_TRUE(response);
+    EXPECT_LT(MonotonicClock::Now() - sent, kMaxWait);
+    served += response->m_status == 200 ? 1 : 0;
+    if (response->m_status != 200) {
+      EXPECT_EQ(response->m_status, 503);
+      EXPECT_TRUE(response->m_headers.Find("Retry-After"));
+    }
+  }
+  EXPECT_LE(MostArrivalsInWindow(before), MaxArrivals(kLimit));
+  // Half of what the sampler accepts, so that the limit is used as well.
+  EXPECT_GE(served, 7);
+  m_sampler.SetRateLimit(std::nullopt);
+  SendUntil(200, { m_callers }, "POST", "/plain/x", "last", "request-last");
+  EXPECT_TRUE(Send(m_callers, "POST", "/plain/x", "last", "request-free"));
+}
+
 TEST_F(WholePathTest, ALeavingSamplerGetsNoWork)
 {
   SetUpService();
