Send no request whose time has run out while it waited for a permit

Read from the code: the reply with a permit may take 100 ms. A request with less than 10 ms left was then sent to a backend server with no time to run. No test; the other paths to an attempt share the check now.

--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -146,12 +146,17 @@
   StartAttempt(relayed);
 }
 
+bool RequestRelay::HasTimeLeft(const RelayedRequest& aRelayed)
+{
+  return aRelayed.m_deadline - MonotonicClock::Now() > kMinTimeLeft;
+}
+
 const BackendRecord* RequestRelay::Choose(const RelayedRequest& aRelayed) const
 {
-  const TimePoint now = MonotonicClock::Now();
-  const bool mayTry = aRelayed.m_tried.size() < aRelayed.m_maxAttempts &&
-                      aRelayed.m_deadline - now > kMinTimeLeft;
-  return mayTry ? m_chooser.Choose(aRelayed.m_service, aRelayed.m_tried, now)
+  const bool mayTry =
+    aRelayed.m_tried.size() < aRelayed.m_maxAttempts && HasTimeLeft(aRelayed);
+  return mayTry ? m_chooser.Choose(
+                    aRelayed.m_service, aRelayed.m_tried, MonotonicClock::Now())
                 : nullptr;
 }
 
@@ -184,7 +189,7 @@
       if (aRelayed->m_done) {
         return;
       }
-      if (aWait) {
+      if (aWait || !HasTimeLeft(*aRelayed)) {
         StartAttempt(aRelayed);
       } else {
         Send(aRelayed, backend);
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -92,6 +92,8 @@
             const BackendRecord& aBackend);
   /** @return the Retry-After of a refusal. */
   [[nodiscard]] Duration RetryAfter(const RelayedRequest& aRelayed) const;
+  [[nodiscard]] static bool HasTimeLeft(const RelayedRequest& aRelayed);
+  /** @return the backend server for the next attempt, or null. */
   [[nodiscard]] const BackendRecord* Choose(
     const RelayedRequest& aRelayed) const;
   void StartHedge(const std::shared_ptr<RelayedRequest>& aRelayed);
