Remove a timeout that stood twice and an unused function

membership_plan.cpp had kContactTimeout in its namespace and again in a class; the object file is the same without the second. ItemScheduler::EventIntervalOf had no caller. Tests of package fleet pass (145).

--- a/src/auburntrestle/fleet/item_scheduler.cpp
+++ b/src/auburntrestle/fleet/item_scheduler.cpp
@@ -167,12 +167,4 @@
   return found == m_engines.end() ? 0 : found->second.m_running;
 }
 
-Duration ItemScheduler::EventIntervalOf(const BackendId& aId) const
-{
-  const auto found = m_engines.find(aId);
-  return Duration(found == m_engines.end()
-                    ? 0
-                    : static_cast<std::int64_t>(found->second.m_eventInterval));
-}
-
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/item_scheduler.hpp
+++ b/src/auburntrestle/fleet/item_scheduler.hpp
@@ -78,8 +78,6 @@
     const ItemRequirements& aRequirements) const;
   /** @return the number of items that run on an engine. */
   [[nodiscard]] std::uint32_t RunningOn(const BackendId& aId) const;
-  /** @return the smoothed time between events of an engine; 0 while unknown. */
-  [[nodiscard]] Duration EventIntervalOf(const BackendId& aId) const;
 
 private:
   struct Engine
--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -11,7 +11,8 @@
 using consensus::Member;
 using consensus::MemberRole;
 
-/** A member that did not reply for this long may have lost its disk. */
+/** A member in contact within this time counts as reachable; one that did not
+ * reply for longer may have lost its disk. */
 constexpr Duration kContactTimeout = std::chrono::seconds(1);
 
 /** Queries on the input of the plan. */
@@ -168,9 +169,6 @@
   }
 
 private:
-  /** A member in contact within this time counts as reachable. */
-  static constexpr Duration kContactTimeout = std::chrono::seconds(1);
-
   const MembershipPolicy& m_policy;
   const consensus::NodeStatus& m_status;
   const State& m_state;
