--- a/src/auburntrestle/rollout/internal/batches.cpp
+++ b/src/auburntrestle/rollout/internal/batches.cpp
@@ -2,6 +2,7 @@
 #include "auburntrestle/rollout/internal/state_machine.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace auburntrestle::rollout::internal {
@@ -272,7 +273,7 @@
     return;
   }
   ++m_metrics.m_batchesFixed;
-  trainer->m_fixed = std::exchange(trainer->m_proposed, {});
+  trainer->m_fixed = std::exchange(trainer->m_proposed, std::nullopt);
   for (const SampleId& id : trainer->m_fixed->m_samples) {
     if (auto found = Find(id)) {
       ClearResult(*found);
@@ -287,7 +288,7 @@
       trainer->m_proposed->m_cursor != aEvent.m_cursor) {
     return;
   }
-  const auto batch = std::exchange(trainer->m_proposed, {});
+  const auto batch = std::exchange(trainer->m_proposed, std::nullopt);
   RevertBatch(*trainer, *batch);
   trainer->m_nextProposal = m_now + m_policy.m_retryDelay;
 }
@@ -337,7 +338,7 @@
       trainer->m_fixed->m_cursor != aEvent.m_cursor) {
     return;
   }
-  const auto batch = std::exchange(trainer->m_fixed, {});
+  const auto batch = std::exchange(trainer->m_fixed, std::nullopt);
   trainer->m_acknowledging = false;
   trainer->m_closedCursor = batch->m_cursor;
   MarkDelivered(*trainer, batch->m_samples);
@@ -402,7 +403,7 @@
     return;
   }
   ++m_metrics.m_batchesDiscarded;
-  const auto batch = std::exchange(trainer->m_fixed, {});
+  const auto batch = std::exchange(trainer->m_fixed, std::nullopt);
   trainer->m_discarding = false;
   trainer->m_closedCursor = batch->m_cursor;
   trainer->m_lastDiscarded = batch->m_cursor;
