Replace a store at once when its machine has a new address

Callers would see: no configuration, publication or job acknowledged any more, and reads of the configuration that fail, until the end, after stores came back at other addresses and further stores lost their disks or power within the losses that are to be tolerated.

Cause: a voter was replaced after 5 s without contact, counted by each leader for itself, so a change of leader started the 5 s again. The log had known since the announcement of the new instance that the old one was gone for good: a fact that was recorded and not used.

Now a member whose machine announced another instance counts as lost after the 1 s that counts as contact, whoever leads.

--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -55,6 +55,16 @@
     return progress == nullptr || progress->m_lastContact + aTimeout < m_now;
   }
 
+  /** @return whether a member is lost: silent for too long, or replaced by an
+   * instance at another address of its machine, which ends its
+   * announcement. */
+  [[nodiscard]] bool IsLost(const Member& aMember, Duration aTimeout) const
+  {
+    const bool announced =
+      m_state.Members().contains(aMember.m_identity.m_instance);
+    return IsSilent(aMember, announced ? aTimeout : kContactTimeout);
+  }
+
   [[nodiscard]] bool IsRetiring(const Member& aMember) const
   {
     return m_state.IsRetiring(aMember.m_identity.m_instance);
@@ -93,12 +103,12 @@
     return reachable * 2 > voters;
   }
 
-  /** @return whether a member is not retiring and was in contact within the
-   * timeout for voters. */
+  /** @return whether a member is neither retiring nor lost, by the timeout for
+   * voters. */
   [[nodiscard]] bool IsInUse(const Member& aMember) const
   {
     return !IsRetiring(aMember) &&
-           !IsSilent(aMember, m_policy.m_voterLossTimeout);
+           !IsLost(aMember, m_policy.m_voterLossTimeout);
   }
 
   /** @return the number of members of a role that are in use. */
@@ -197,9 +207,9 @@
   }
   for (const Member& member : members) {
     const bool voter = member.m_role == MemberRole::Voter;
-    const bool lost = view.IsSilent(member,
-                                    voter ? aPolicy.m_voterLossTimeout
-                                          : aPolicy.m_learnerLossTimeout);
+    const bool lost = view.IsLost(member,
+                                  voter ? aPolicy.m_voterLossTimeout
+                                        : aPolicy.m_learnerLossTimeout);
     const bool retiring = view.IsRetiring(member);
     if (view.IsSelf(member) || (!lost && !retiring)) {
       continue;
--- a/test/auburntrestle/consensus/cluster.cpp
+++ b/test/auburntrestle/consensus/cluster.cpp
@@ -70,6 +70,7 @@
   options.m_autoPromote = m_options.m_autoPromote;
   options.m_maxMessageBytes = m_options.m_maxMessageBytes;
   options.m_resendTimeout = m_options.m_resendTimeout;
+  options.m_electionTimeout = m_options.m_electionTimeout;
   options.m_safeguards = m_options.m_safeguards;
   options.m_snapshotThresholdEntries = 8;
   options.m_trailingEntries = 2;
@@ -291,6 +292,12 @@
   Step(aMember, ChangeMembership{ ProposalId(m_nextId++), aChange });
 }
 
+void Cluster::SetKnownMembers(std::size_t aMember,
+                              const std::vector<InstanceId>& aMembers)
+{
+  Step(aMember, MemberListReceived{ aMembers });
+}
+
 void Cluster::ProposeAndReadOnAllLeaders()
 {
   for (std::size_t member = 0; member < Size(); ++member) {
@@ -330,8 +337,11 @@
         [&](const ReadConfirmed& aRead) { OnRead(aMember, aRead.m_id); },
         [&](const TakeSnapshot& aWanted) { wanted = aWanted.m_index; },
         [&](const JoinRequested& aJoin) {
-          // Acts as an operator who accepts every join request.
-          Change(aMember, AddLearner{ aJoin.m_member });
+          if (m_onJoin) {
+            m_onJoin(aMember, aJoin.m_member);
+          } else {
+            Change(aMember, AddLearner{ aJoin.m_member });
+          }
         },
         [](const auto&) {},
 
--- a/test/auburntrestle/consensus/cluster.hpp
+++ b/test/auburntrestle/consensus/cluster.hpp
@@ -27,6 +27,7 @@
   bool m_autoPromote = true;
   std::size_t m_maxMessageBytes = std::size_t{ 256 } * 1024;
   Duration m_resendTimeout = std::chrono::milliseconds(50);
+  Duration m_electionTimeout = std::chrono::milliseconds(300);
   Safeguards m_safeguards;
 };
 
@@ -67,6 +68,9 @@
   /** Called for each delivery; may change the message, or drop it by returning
    * false. */
   std::function<bool(Message&)> m_filter;
+  /** Called when a leader receives a join request of an instance outside the
+   * log. If not set, the instance is added at once. */
+  std::function<void(std::size_t, const MemberIdentity&)> m_onJoin;
   /** Called after each event that a member has handled. */
   std::function<void()> m_afterStep;
   double m_dropChance = 0;
@@ -77,6 +81,9 @@
   std::uint64_t Propose(std::size_t aMember);
   void Read(std::size_t aMember);
   void Change(std::size_t aMember, const MembershipChange& aChange);
+  /** Tells a member the instances of the log, as a leader does. */
+  void SetKnownMembers(std::size_t aMember,
+                       const std::vector<InstanceId>& aMembers);
   /** Proposes and reads at every member that believes to be the leader. */
   void ProposeAndReadOnAllLeaders();
 
@@ -99,6 +106,12 @@
   /** @return the state of each member and the violations, for failed checks. */
   [[nodiscard]] std::string Describe() const;
 
+  [[nodiscard]] TimePoint Now() const { return m_now; }
+  /** @return the time of a member's own clock. */
+  [[nodiscard]] TimePoint LocalNow(std::size_t aMember) const
+  {
+    return m_members[aMember]->m_localNow;
+  }
   [[nodiscard]] std::size_t Size() const { return m_members.size(); }
   [[nodiscard]] InstanceId Name(std::size_t aMember) const;
   [[nodiscard]] const std::vector<std::string>& Violations() const
--- a/test/auburntrestle/fleet/membership_plan_test.cpp
+++ b/test/auburntrestle/fleet/membership_plan_test.cpp
@@ -142,6 +142,21 @@
   EXPECT_EQ(Plan(), "remove c");
 }
 
+// Guards against a voter that is known to be gone and is waited for.
+TEST_F(MembershipPlanTest, ReplacesAVoterWhoseMachineHasAnotherInstance)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter, std::chrono::seconds(2));
+  Add("d", MemberRole::Learner);
+  EXPECT_EQ(Plan(), "none");
+  std::ignore = m_state.Apply(
+    AnnounceMember{ InstanceId("e"), "machine-c", DataCentreId("dc-c") });
+  EXPECT_EQ(Plan(), "promote d");
+  m_status.m_configuration.m_members.back().m_role = MemberRole::Voter;
+  EXPECT_EQ(Plan(), "remove c");
+}
+
 TEST_F(MembershipPlanTest, RemovesNobodyWithoutAMajorityInContact)
 {
   Add("a", MemberRole::Voter);
