Send nothing new to backend servers that say that they leave

A backend server that leaves says so in its responses, also while the instance is cut off from the log and cannot learn of its announcement; the instance went on sending.

Cause: nothing read the statement; only the directory said who leaves.

Evidence: with the statement read but not used, ASamplerThatSaysThatItLeavesGetsNoRequest (5 further requests run) and ASamplerThatSaysThatItLeavesGetsNoItems (4 items run) fail; both pass now.

BackendClient reads the statement in every head and keeps it for the process that made it, until another incarnation is announced. Requests, hedges, retries, reward calls, items and orders do not choose such a server; a permit that arrives later is not used either.

--- a/src/auburntrestle/fleet/backend_chooser.cpp
+++ b/src/auburntrestle/fleet/backend_chooser.cpp
@@ -54,7 +54,8 @@
   bool bestAvoided = false;
   for (const auto& [id, backend] : m_backends) {
     if (backend.m_record.m_service != aService || backend.m_misdirected ||
-        aExclude.contains(id) || IsFull(backend) || PermitOf(backend) > aNow) {
+        IsDraining(backend) || aExclude.contains(id) || IsFull(backend) ||
+        PermitOf(backend) > aNow) {
       continue;
     }
     const double latency =
@@ -93,6 +94,12 @@
   return aBackend.m_inFlight >= std::max(std::floor(slots), 1.0);
 }
 
+bool BackendChooser::IsDraining(const Backend& aBackend) const
+{
+  return m_draining != nullptr &&
+         m_draining->Contains(aBackend.m_record.Process());
+}
+
 TimePoint BackendChooser::PermitOf(const Backend& aBackend) const
 {
   return m_rateLimits == nullptr
@@ -106,8 +113,8 @@
   std::optional<TimePoint> next;
   for (const auto& [id, backend] : m_backends) {
     const TimePoint permit = PermitOf(backend);
-    if (backend.m_record.m_service == aService && permit > aNow &&
-        (!next || permit < *next)) {
+    if (backend.m_record.m_service == aService && !IsDraining(backend) &&
+        permit > aNow && (!next || permit < *next)) {
       next = permit;
     }
   }
--- a/src/auburntrestle/fleet/backend_chooser.hpp
+++ b/src/auburntrestle/fleet/backend_chooser.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/core/time.hpp"
 #include "auburntrestle/fleet/backend_rate_limits.hpp"
 #include "auburntrestle/fleet/backend_record.hpp"
+#include "auburntrestle/fleet/draining_backends.hpp"
 
 #include <cstdint>
 #include <map>
@@ -37,11 +38,13 @@
   /** @param aHome the data centre of this instance. */
   explicit BackendChooser(DataCentreId aHome, ChooserLimits aLimits = {});
 
-  /** Sets the limits that backend servers stated; one without a permit is not
-   * chosen. @param aLimits must outlive the chooser. */
-  void SetRateLimits(const BackendRateLimits& aLimits) noexcept
+  /** Sets what backend servers stated in responses; one without a permit or
+   * that drains is not chosen. Both must outlive the chooser. */
+  void SetStatements(const BackendRateLimits& aLimits,
+                     const DrainingBackends& aDraining) noexcept
   {
     m_rateLimits = &aLimits;
+    m_draining = &aDraining;
   }
 
   /** Replaces the backend servers. */
@@ -92,6 +95,7 @@
   };
 
   [[nodiscard]] bool IsFull(const Backend& aBackend) const;
+  [[nodiscard]] bool IsDraining(const Backend& aBackend) const;
   /** @return when a request may be sent to a backend server. */
   [[nodiscard]] TimePoint PermitOf(const Backend& aBackend) const;
   void DecrementInFlight(Backend& aBackend);
@@ -100,6 +104,7 @@
   DataCentreId m_home;
   ChooserLimits m_limits;
   const BackendRateLimits* m_rateLimits = nullptr;
+  const DrainingBackends* m_draining = nullptr;
   std::map<BackendId, Backend> m_backends;
 };
 
--- a/src/auburntrestle/fleet/backend_client.cpp
+++ b/src/auburntrestle/fleet/backend_client.cpp
@@ -28,11 +28,9 @@
   const TimePoint now = MonotonicClock::Now();
   m_limits.RecordSent(aBackend.Process(), now);
   aHandlers.m_onHead =
-    [this,
-     process = aBackend.Process(),
-     now,
-     onHead = std::move(aHandlers.m_onHead)](const http::ResponseHead& aHead) {
-      HandleHead(process, now, aHead);
+    [this, aBackend, now, onHead = std::move(aHandlers.m_onHead)](
+      const http::ResponseHead& aHead) {
+      HandleHead(aBackend, now, aHead);
       onHead(aHead);
     };
   return m_client.Start(
@@ -54,7 +52,7 @@
   m_client.CloseIdle(aAddress);
 }
 
-void BackendClient::HandleHead(const BackendProcess& aBackend,
+void BackendClient::HandleHead(const BackendRecord& aBackend,
                                TimePoint aSentAt,
                                const http::ResponseHead& aHead)
 {
@@ -62,16 +60,40 @@
   if (!statement) {
     return;
   }
-  const auto limit = statement->m_rateLimit;
+  if (statement->m_isDraining) {
+    RecordDraining(aBackend);
+  }
+  if (!statement->m_hasUnreadableLimit) {
+    RecordLimit(aBackend.Process(), statement->m_rateLimit, aSentAt);
+  }
+}
+
+void BackendClient::RecordDraining(const BackendRecord& aBackend)
+{
+  if (!m_draining.Record(aBackend.Process(), MonotonicClock::Now())) {
+    return;
+  }
+  m_client.CloseIdle(aBackend.m_address);
+  m_instruments.Count(observe::counters::kDrainingBackends, "response");
+  LogLine(LogLevel::Info, "backend_draining")
+    .Add("backend", aBackend.m_id)
+    .Add("incarnation", aBackend.m_incarnation)
+    .Add("source", "response");
+}
+
+void BackendClient::RecordLimit(const BackendProcess& aBackend,
+                                std::optional<RequestRate> aLimit,
+                                TimePoint aSentAt)
+{
   if (!m_limits.RecordStatement(
-        aBackend, limit, aSentAt, MonotonicClock::Now())) {
+        aBackend, aLimit, aSentAt, MonotonicClock::Now())) {
     return;
   }
   m_instruments.Count(observe::counters::kRateLimits,
-                      limit ? "stated" : "ended");
+                      aLimit ? "stated" : "ended");
   LogLine(LogLevel::Info, "backend_limit_changed")
     .Add("backend", aBackend.m_id)
-    .Add("per_second", limit ? std::to_string(limit->Get()) : "none");
+    .Add("per_second", aLimit ? std::to_string(aLimit->Get()) : "none");
 }
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/backend_client.hpp
+++ b/src/auburntrestle/fleet/backend_client.hpp
@@ -5,11 +5,13 @@
 #include "auburntrestle/fleet/backend_rate_limits.hpp"
 #include "auburntrestle/fleet/backend_record.hpp"
 #include "auburntrestle/fleet/backend_statement.hpp"
+#include "auburntrestle/fleet/draining_backends.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace auburntrestle::fleet {
@@ -48,16 +50,26 @@
   {
     return m_limits;
   }
+  /** @return the backend servers that stated that they are leaving. */
+  [[nodiscard]] const DrainingBackends& Draining() const noexcept
+  {
+    return m_draining;
+  }
 
 private:
-  void HandleHead(const BackendProcess& aBackend,
+  void HandleHead(const BackendRecord& aBackend,
                   TimePoint aSentAt,
                   const http::ResponseHead& aHead);
+  void RecordDraining(const BackendRecord& aBackend);
+  void RecordLimit(const BackendProcess& aBackend,
+                   std::optional<RequestRate> aLimit,
+                   TimePoint aSentAt);
 
   http::Client m_client;
   BackendStatementReader m_readStatement;
   observe::Instruments& m_instruments;
   BackendRateLimits m_limits;
+  DrainingBackends m_draining;
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -90,6 +90,12 @@
            : nullptr;
 }
 
+bool EnginePool::IsServing(const Engine& aEngine) const
+{
+  return aEngine.m_record.m_state == BackendState::Serving &&
+         !m_client.Draining().Contains(aEngine.m_record.Process());
+}
+
 void EnginePool::SetDirectory(
   const std::map<BackendId, BackendRecord>& aBackends,
   const RouteTable& aRoutes)
@@ -165,8 +171,7 @@
   if (engine.m_load) {
     view.m_loading = engine.m_load->m_model;
   }
-  view.m_accepting = engine.m_versionsKnown &&
-                     engine.m_record.m_state == BackendState::Serving &&
+  view.m_accepting = engine.m_versionsKnown && IsServing(engine) &&
                      engine.m_avoidUntil <= now && permit <= now;
   m_scheduler.SetEngine(aId, view);
 }
@@ -213,7 +218,10 @@
   Engine& engine = found->second;
   const bool limited =
     m_client.Limits().LimitOf(engine.m_record.Process()).has_value();
-  if (std::exchange(engine.m_limited, limited) || limited) {
+  const bool draining = m_client.Draining().Contains(engine.m_record.Process());
+  const bool wasDraining = std::exchange(engine.m_draining, draining);
+  if (std::exchange(engine.m_limited, limited) || limited ||
+      wasDraining != draining) {
     UpdateScheduler(aEngine);
   }
 }
@@ -326,6 +334,7 @@
     return;
   }
   engine->m_reportPending = false;
+  RefreshPermit(aId);
   const auto report =
     aResponse ? m_protocol.m_readReport(*aResponse) : std::nullopt;
   if (!report) {
@@ -373,7 +382,7 @@
   }
   std::map<BackendId, EngineWeights> engines;
   for (const auto& [id, engine] : m_engines) {
-    if (engine.m_record.m_state != BackendState::Serving) {
+    if (!IsServing(engine)) {
       continue;
     }
     EngineWeights weights;
@@ -449,6 +458,7 @@
                                     Incarnation aIncarnation,
                                     const http::FetchResult& aResponse)
 {
+  RefreshPermit(aLoad.m_engine);
   Engine* engine = Find(aLoad.m_engine, aIncarnation);
   if (engine == nullptr || engine->m_load != aLoad) {
     return;
--- a/src/auburntrestle/fleet/engine_pool.hpp
+++ b/src/auburntrestle/fleet/engine_pool.hpp
@@ -82,7 +82,7 @@
   /** Records that an engine had no free slot; it is avoided briefly. */
   void RecordFull(const BackendId& aEngine);
   /** Updates an engine after a request to it or the head of a response, either
-   * of which may change when the next request is permitted. */
+   * of which may change when the next request is permitted, if ever. */
   void RefreshPermit(const BackendId& aEngine);
   /** Records a completed item; resets the backoff of the engine. */
   void RecordSuccess(const BackendId& aEngine);
@@ -129,6 +129,8 @@
     std::uint32_t m_failures = 0;
     /** The engine stated a rate limit when its permit was last refreshed. */
     bool m_limited = false;
+    /** The engine was draining when its permit was last refreshed. */
+    bool m_draining = false;
     /** An update of the scheduler at the next permit is scheduled. */
     bool m_permitScheduled = false;
   };
@@ -153,6 +155,8 @@
   /** Passes the state of an engine on to the scheduler. */
   void UpdateScheduler(const BackendId& aId);
   [[nodiscard]] Engine* Find(const BackendId& aId, Incarnation aIncarnation);
+  /** @return whether an engine neither leaves nor has left. */
+  [[nodiscard]] bool IsServing(const Engine& aEngine) const;
   /** Runs work after a delay unless the leadership epoch ends before. */
   void RunAfter(Duration aDelay, std::function<void()> aWork);
 
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -56,7 +56,7 @@
       *m_options.m_instruments)
   , m_watches(m_options.m_self, m_options.m_dataCentre)
 {
-  m_chooser.SetRateLimits(m_client.Limits());
+  m_chooser.SetStatements(m_client.Limits(), m_client.Draining());
 }
 
 EntryService::~EntryService()
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -189,7 +189,10 @@
       if (aRelayed->m_done) {
         return;
       }
-      if (aWait || !HasTimeLeft(*aRelayed)) {
+      // The server may have started to drain while the permit was asked for.
+      const bool usable = !aWait && HasTimeLeft(*aRelayed) &&
+                          !m_client.Draining().Contains(backend.Process());
+      if (!usable) {
         StartAttempt(aRelayed);
       } else {
         Send(aRelayed, backend);
--- a/src/auburntrestle/fleet/reward_caller.cpp
+++ b/src/auburntrestle/fleet/reward_caller.cpp
@@ -70,7 +70,7 @@
   , m_random(aSeed)
   , m_chooser(m_options.m_home, ChooserLimits{ m_options.m_slotShare, false })
 {
-  m_chooser.SetRateLimits(m_client.Limits());
+  m_chooser.SetStatements(m_client.Limits(), m_client.Draining());
 }
 
 RewardCaller::~RewardCaller()
--- a/src/auburntrestle/observe/instruments.hpp
+++ b/src/auburntrestle/observe/instruments.hpp
@@ -15,6 +15,8 @@
 inline constexpr std::string_view kBackendFailures =
   "trestle_backend_failures_total";
 inline constexpr std::string_view kRateLimits = "trestle_rate_limits_total";
+inline constexpr std::string_view kDrainingBackends =
+  "trestle_draining_backends_total";
 inline constexpr std::string_view kPermits = "trestle_permits_total";
 inline constexpr std::string_view kHedges = "trestle_hedges_total";
 inline constexpr std::string_view kItems = "trestle_items_total";
--- a/test/auburntrestle/fleet/backend_rate_limits_test.cpp
+++ b/test/auburntrestle/fleet/backend_rate_limits_test.cpp
@@ -153,7 +153,7 @@
     }
     for (std::size_t index = 0; index < m_case.m_instances; ++index) {
       auto& instance = m_instances.emplace_back();
-      instance.m_chooser.SetRateLimits(instance.m_limits);
+      instance.m_chooser.SetStatements(instance.m_limits, instance.m_draining);
       instance.m_chooser.SetBackends(m_records);
     }
   }
@@ -190,6 +190,7 @@
   struct Instance
   {
     BackendRateLimits m_limits;
+    DrainingBackends m_draining;
     BackendChooser m_chooser{ DataCentreId("dc") };
   };
 
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -33,6 +33,8 @@
   std::function<void(const Json&)> m_onOrder;
   /** The rate limit that all responses state; absent for none. */
   std::optional<double> m_rateLimit;
+  /** Whether all responses state that the sampler leaves. */
+  bool m_isLeaving = false;
 };
 
 /** A fake sampler that implements the platform's protocol. */
@@ -106,6 +108,10 @@
     m_options.m_rateLimit = aLimit;
   }
 
+  void SetLeaving(bool aIsLeaving) { m_options.m_isLeaving = aIsLeaving; }
+  /** Acts as another process at the same address. */
+  void Restart() { ++m_options.m_incarnation; }
+
   /** @return the body of a heartbeat. */
   [[nodiscard]] std::string Heartbeat(const std::string& aService,
                                       const std::string& aState)
@@ -143,6 +149,9 @@
       response.m_headers.Add(names::kRateLimit,
                              std::to_string(*m_options.m_rateLimit));
     }
+    if (m_options.m_isLeaving) {
+      response.m_headers.Add(names::kLeaving, "1");
+    }
     const bool ran = response.m_headers.Find(names::kSignature).has_value();
     if (!ran || m_options.m_runTime == Duration::zero()) {
       aExchange->Respond(response);
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -461,6 +461,61 @@
   EXPECT_TRUE(Send(m_callers, "POST", "/plain/x", "last", "request-free"));
 }
 
+// Guards against an entry instance that sends requests to a sampler which said
+// that it leaves, because nothing was announced.
+TEST_F(WholePathTest, ASamplerThatSaysThatItLeavesGetsNoRequest)
+{
+  constexpr Duration kMaxWait = std::chrono::milliseconds(500);
+  SetUpService();
+  m_sampler.SetLeaving(true);
+  ASSERT_EQ(Send(m_callers, "POST", "/plain/x", "query", "request-1")->m_status,
+            200);
+  const auto ran = m_sampler.ExecutedRequests().size();
+  for (int request = 0; request < 5; ++request) {
+    const TimePoint sent = MonotonicClock::Now();
+    const auto response =
+      Send(m_callers, "POST", "/plain/x", "query", "request-2");
+    EXPECT_LT(MonotonicClock::Now() - sent, kMaxWait);
+    EXPECT_EQ(response->m_status, 503);
+    EXPECT_TRUE(response->m_headers.Find("Retry-After"));
+  }
+  SendUntil(200,
+            m_controls,
+            "PUT",
+            "/auburntrestle/instances/i-1",
+            m_sampler.Heartbeat("samplers", "ready"));
+  EXPECT_EQ(m_sampler.ExecutedRequests().size(), ran);
+  // Another process at the same address starts without the statement.
+  m_sampler.SetLeaving(false);
+  m_sampler.Restart();
+  SendUntil(200,
+            m_controls,
+            "PUT",
+            "/auburntrestle/instances/i-1",
+            m_sampler.Heartbeat("samplers", "ready"));
+  SendUntil(200, { m_callers }, "POST", "/plain/x", "query", "request-3");
+}
+
+// Guards against a leader that sends items to a sampler which said that it
+// leaves, because nothing was announced.
+TEST_F(WholePathTest, ASamplerThatSaysThatItLeavesGetsNoItems)
+{
+  constexpr Duration kObserved = std::chrono::seconds(2);
+  SetUpService();
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(1), "job-1");
+  ASSERT_EQ(ReadAllResults("job-1").size(), 1U);
+  m_sampler.SetLeaving(true);
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(1), "job-2");
+  ASSERT_EQ(ReadAllResults("job-2").size(), 1U);
+  const auto ran = m_sampler.ExecutedRequests().size();
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(4), "job-3");
+  const TimePoint end = MonotonicClock::Now() + kObserved;
+  while (MonotonicClock::Now() < end) {
+    m_loop.Context().run_one_for(std::chrono::milliseconds(50));
+  }
+  EXPECT_EQ(m_sampler.ExecutedRequests().size(), ran);
+}
+
 TEST_F(WholePathTest, ALeavingSamplerGetsNoWork)
 {
   SetUpService();
