Report a retirement as completed only once its removal is committed

Callers would see: a log without a majority, so nothing acknowledged any more, after a retired store was removed with its disk and others lost theirs at the same moment as the leader.

Cause: the reply looked at the newest configuration of the leader's log, which may still be replaced by the one before, in which the retired store votes.

Evidence: read from the code; ARetirementCompletesOnceItsRemovalIsCommitted fails with the old rule.

The rule moves from the query server to the membership plan, where it is testable without a network.

--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -378,6 +378,8 @@
   status.m_applied = m_applied;
   status.m_snapshot = m_snapshot;
   status.m_configuration = CurrentConfiguration();
+  status.m_isConfigurationCommitted =
+    m_configurations.empty() || m_configurations.back().m_index <= m_commit;
   status.m_verified = !m_verification;
   for (const auto& [member, progress] : m_progress) {
     status.m_progress.push_back(
--- a/src/auburntrestle/consensus/node.hpp
+++ b/src/auburntrestle/consensus/node.hpp
@@ -59,7 +59,9 @@
   LogIndex m_applied;
   /** The position of the newest snapshot. */
   LogPosition m_snapshot;
+  /** The newest configuration in the log. */
   Configuration m_configuration;
+  bool m_isConfigurationCommitted = true;
   /** False while a restarted member waits for the responses that
    * Options::m_verifyAfterRestart requires. */
   bool m_verified = true;
--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -226,6 +226,23 @@
   return std::nullopt;
 }
 
+Retirement RetirementOf(const std::string& aMachine,
+                        const consensus::NodeStatus& aStatus,
+                        const State& aState)
+{
+  if (!aState.IsRetiringMachine(aMachine)) {
+    return Retirement::Unknown;
+  }
+  const auto instances = aState.InstancesOf(aMachine);
+  const bool isMember = std::any_of(
+    instances.begin(), instances.end(), [&](const InstanceId& aInstance) {
+      return aStatus.m_configuration.FindInstance(aInstance) != nullptr;
+    });
+  return isMember || !aStatus.m_isConfigurationCommitted
+           ? Retirement::Running
+           : Retirement::Completed;
+}
+
 std::vector<InstanceId> InstancesToNotify(const consensus::NodeStatus& aStatus,
                                           const State& aState,
                                           TimePoint aNow)
--- a/src/auburntrestle/fleet/membership_plan.hpp
+++ b/src/auburntrestle/fleet/membership_plan.hpp
@@ -3,10 +3,12 @@
 
 #include "auburntrestle/consensus/events.hpp"
 #include "auburntrestle/consensus/node.hpp"
+#include "auburntrestle/fleet/messages.hpp"
 #include "auburntrestle/fleet/state.hpp"
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace auburntrestle::fleet {
@@ -42,6 +44,16 @@
   const std::vector<consensus::MemberIdentity>& aJoining,
   TimePoint aNow);
 
+/**
+ * @return how far a machine is retired. Completed only once the configuration
+ *   without its instances is committed, since its disk is erased then, perhaps
+ *   together with those of other members.
+ * @param aStatus the status of the leader.
+ */
+[[nodiscard]] Retirement RetirementOf(const std::string& aMachine,
+                                      const consensus::NodeStatus& aStatus,
+                                      const State& aState);
+
 /**
  * Selects the instances to which the leader names itself and the members of the
  * log. Those are the announced instances outside the log, and members without
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/query_server.hpp"
 
 #include "auburntrestle/core/overloaded.hpp"
+#include "auburntrestle/fleet/membership_plan.hpp"
 #include "auburntrestle/observe/log.hpp"
 
 #include <utility>
@@ -161,47 +162,38 @@
   const Query& aQuery,
   std::function<void(std::optional<ReplyBody>)> aCallback)
 {
-  m_replica.ConfirmRead(
-    [this, aQuery, callback = std::move(aCallback)](bool aConfirmed) {
-      if (!aConfirmed) {
-        callback(std::nullopt);
-        return;
-      }
-      const State& state = m_replica.GetState();
-      std::visit(
-        Overloaded{
-          [&](const ReadJob& aRead) {
-            ReadJob read = aRead;
-            read.m_wait = Duration::zero();
-            const auto now = TryRead(read);
-            callback(now ? *now : ReplyBody(JobView{}));
-          },
-          [&](const ReadItem& aRead) {
-            const auto now = TryRead(aRead);
-            callback(now ? *now : ReplyBody(ItemView{}));
-          },
-          [&](const ReadConfiguration&) {
-            callback(ReplyBody(state.Configuration()));
-          },
-          [&](const ReadRetirement& aRead) {
-            RetirementView view;
-            if (state.IsRetiringMachine(aRead.m_machine)) {
-              view.m_state = Retirement::Completed;
-              const auto members = m_replica.Status().m_configuration;
-              for (const auto& instance : state.InstancesOf(aRead.m_machine)) {
-                if (members.FindInstance(instance) != nullptr) {
-                  view.m_state = Retirement::Running;
-                }
-              }
-            }
-            callback(ReplyBody(view));
-          },
-          [&](const Watch& aWatch) {
-            callback(ReplyBody(MakeDirectoryView(aWatch)));
-          },
-          [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); } },
-        aQuery);
-    });
+  m_replica.ConfirmRead([this, aQuery, callback = std::move(aCallback)](
+                          bool aConfirmed) {
+    if (!aConfirmed) {
+      callback(std::nullopt);
+      return;
+    }
+    const State& state = m_replica.GetState();
+    std::visit(Overloaded{ [&](const ReadJob& aRead) {
+                            ReadJob read = aRead;
+                            read.m_wait = Duration::zero();
+                            const auto now = TryRead(read);
+                            callback(now ? *now : ReplyBody(JobView{}));
+                          },
+                           [&](const ReadItem& aRead) {
+                             const auto now = TryRead(aRead);
+                             callback(now ? *now : ReplyBody(ItemView{}));
+                           },
+                           [&](const ReadConfiguration&) {
+                             callback(ReplyBody(state.Configuration()));
+                           },
+                           [&](const ReadRetirement& aRead) {
+                             callback(ReplyBody(RetirementView{ RetirementOf(
+                               aRead.m_machine, m_replica.Status(), state) }));
+                           },
+                           [&](const Watch& aWatch) {
+                             callback(ReplyBody(MakeDirectoryView(aWatch)));
+                           },
+                           [&](const RequestPermit& aRequest) {
+                             callback(TryRead(aRequest));
+                           } },
+               aQuery);
+  });
 }
 
 void QueryServer::Defer(const Query& aQuery,
--- a/test/auburntrestle/fleet/membership_faults_test.cpp
+++ b/test/auburntrestle/fleet/membership_faults_test.cpp
@@ -133,8 +133,8 @@
   void Retire(std::size_t aStore, const std::set<std::size_t>& aEmptied)
   {
     const auto minRemaining = static_cast<std::uint32_t>(kTargetVoters);
-    const auto accepted = m_state.Apply(RetireMember{
-      "machine-" + std::to_string(m_machines.at(aStore)), minRemaining });
+    const auto accepted =
+      m_state.Apply(RetireMember{ MachineOf(aStore), minRemaining });
     if (*accepted != CommandResult::Done) {
       return;
     }
@@ -271,7 +271,7 @@
     m_machines.emplace(aStore, aMachine);
     std::ignore = m_state.Apply(AnnounceMember{
       m_cluster.Name(aStore),
-      "machine-" + std::to_string(aMachine),
+      MachineOf(aStore),
       DataCentreId("dc-" + std::to_string(aMachine % kDataCentres)) });
   }
 
@@ -288,8 +288,14 @@
   [[nodiscard]] bool HasLeft(std::size_t aStore) const
   {
     const auto leader = m_cluster.Leader();
-    return leader && m_cluster.Status(*leader).m_configuration.FindInstance(
-                       m_cluster.Name(aStore)) == nullptr;
+    return leader && RetirementOf(MachineOf(aStore),
+                                  m_cluster.Status(*leader),
+                                  m_state) == Retirement::Completed;
+  }
+
+  [[nodiscard]] std::string MachineOf(std::size_t aStore) const
+  {
+    return "machine-" + std::to_string(m_machines.at(aStore));
   }
 
   /** A replica that was removed from the log is opened again. */
--- a/test/auburntrestle/fleet/membership_plan_test.cpp
+++ b/test/auburntrestle/fleet/membership_plan_test.cpp
@@ -185,6 +185,29 @@
 
 // Guards against a member that lost its disk when all seeds it knows were
 // replaced: it must learn who leads, although the log still lists its address.
+// Guards against a machine that is removed with its disk while the log may
+// still return to a configuration that needs it.
+TEST_F(MembershipPlanTest, ARetirementCompletesOnceItsRemovalIsCommitted)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter);
+  Add("d", MemberRole::Voter);
+  const auto retirement = [&] {
+    return RetirementOf("machine-b", m_status, m_state);
+  };
+  EXPECT_EQ(retirement(), Retirement::Unknown);
+  ASSERT_EQ(*m_state.Apply(RetireMember{ "machine-b", 3 }),
+            CommandResult::Done);
+  EXPECT_EQ(retirement(), Retirement::Running);
+  m_status.m_configuration.m_members.erase(
+    m_status.m_configuration.m_members.begin() + 1);
+  m_status.m_isConfigurationCommitted = false;
+  EXPECT_EQ(retirement(), Retirement::Running);
+  m_status.m_isConfigurationCommitted = true;
+  EXPECT_EQ(retirement(), Retirement::Completed);
+}
+
 TEST_F(MembershipPlanTest, SilentMembersAndNonMembersAreNotified)
 {
   Add("a", MemberRole::Voter);
