Name the new leader to stores outside the log at once

Callers saw: control calls that failed with 503 after 900 ms, at the stores outside the log, for up to a second after a new leader was elected.

Cause: the leader names itself to those stores once a second, by a timer that runs whoever leads, so they passed calls on to the former leader meanwhile.

No test: the sending needs processes.

--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -528,6 +528,8 @@
     m_queries->RefuseDeferred();
     return;
   }
+  // Stores outside the log pass calls on to the former leader until they know.
+  NotifyInstances();
   const State& state = m_replica->GetState();
   m_engines->Start(Fencing(m_replica->GetTerm().Get()), m_lastOrderAt);
   m_engines->SetNewest(state.Weights());
