Ignore a former leader that names itself to members of the log

Callers would see: control calls that fail after 900 ms at a member that lost the present leader within 3 s after a former one woke.

Cause: a notice was compared with the notices before it only. Members of the log get none while they are in contact, so the first one that reached them, from a leader that had been frozen, was the newest.

With the old rule LeaderNoticesTest FormerLeaderOfAMember fails. No failed call was traced to it.

The decision has a class of its own, LeaderNotices, without network.

--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -21,8 +21,6 @@
 constexpr Duration kAnnounceTimeout = std::chrono::milliseconds(900);
 constexpr Duration kOutputChunkTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
-/** A leader whose last notice is older may have been replaced. */
-constexpr Duration kNoticeLifetime = std::chrono::seconds(3);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -224,24 +222,25 @@
 
 void StoreService::HandleLeaderNotice(const std::string& aPayload)
 {
-  auto notice = DecodeLeaderNotice(aPayload);
+  const auto notice = DecodeLeaderNotice(aPayload);
   if (!notice) {
     LogLine(LogLevel::Warning, "leader_notice_unreadable")
       .Add("bytes", aPayload.size());
     return;
   }
-  if (notice->m_term < m_notice.m_term) {
+  const Term followed = m_replica->Leader() ? m_replica->GetTerm() : Term();
+  const auto outcome =
+    m_notices.Record(*notice, followed, MonotonicClock::Now());
+  if (outcome == NoticeOutcome::Outdated) {
     return;
   }
-  if (notice->m_leader != m_notice.m_leader) {
+  if (outcome == NoticeOutcome::NewLeader) {
     LogLine(LogLevel::Info, "leader_named")
       .Add("leader", notice->m_leader)
       .Add("term", notice->m_term);
   }
-  m_notice = std::move(*notice);
-  m_noticeReceivedAt = MonotonicClock::Now();
-  m_link->SetCandidates(m_notice.m_members);
-  m_replica->SetKnownMembers(m_notice.m_members);
+  m_link->SetCandidates(notice->m_members);
+  m_replica->SetKnownMembers(notice->m_members);
 }
 
 PermitView StoreService::GrantPermit(const RequestPermit& aRequest)
@@ -258,11 +257,8 @@
   if (auto leader = m_replica->Leader()) {
     return leader;
   }
-  const bool fresh =
-    MonotonicClock::Now() - m_noticeReceivedAt < kNoticeLifetime;
-  return fresh && m_notice.m_leader != m_options.m_self
-           ? std::optional(m_notice.m_leader)
-           : std::nullopt;
+  const auto named = m_notices.LeaderAt(MonotonicClock::Now());
+  return named != m_options.m_self ? named : std::nullopt;
 }
 
 void StoreService::HandleCall(protocol::Method aMethod,
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -8,6 +8,7 @@
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/job_runner.hpp"
 #include "auburntrestle/fleet/leader_link.hpp"
+#include "auburntrestle/fleet/leader_notices.hpp"
 #include "auburntrestle/fleet/query_server.hpp"
 #include "auburntrestle/fleet/replica.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
@@ -162,10 +163,8 @@
   std::unique_ptr<RewardCaller> m_rewards;
   std::unique_ptr<JobRunner> m_runner;
   std::shared_ptr<const RouteTable> m_routes;
-  /** The newest notice of a leader to this instance. */
-  LeaderNotice m_notice;
+  LeaderNotices m_notices;
   DirectoryConfirmation m_confirmation;
-  TimePoint m_noticeReceivedAt{};
   /** When the last record of an order to an engine was applied here. */
   std::optional<TimePoint> m_lastOrderAt;
   /** Destroyed first, because its thread calls into the other members. */
