--- a/src/auburntrestle/daemon/internal/ledger_requests.cpp
+++ b/src/auburntrestle/daemon/internal/ledger_requests.cpp
@@ -1,5 +1,4 @@
 #include "auburntrestle/daemon/internal/ledger_implementation.hpp"
-
 #include "auburntrestle/daemon/peer_methods.hpp"
 #include "auburntrestle/ledger/codec.hpp"
 #include "auburntrestle/protocol/ledger_codec.hpp"
