--- a/review/stand_in/page_server.cpp
+++ b/review/stand_in/page_server.cpp
@@ -22,6 +22,9 @@
 
 std::size_t BytesOf(const std::string& aId)
 {
+  if (aId.starts_with("huge")) {
+    return kHugeBody;
+  }
   return IsLarge(aId) ? kLargeBody : aId.size();
 }
 
--- a/review/stand_in/page_server.hpp
+++ b/review/stand_in/page_server.hpp
@@ -16,6 +16,8 @@
 constexpr auto kPageService = "desk";
 /** The body of the answers to requests whose id begins with "large". */
 constexpr std::size_t kLargeBody = std::size_t{ 8 } * 1024 * 1024;
+/** The same for "huge". */
+constexpr std::size_t kHugeBody = 2 * kLargeBody;
 
 /** Starts two servers and puts the manifest in force.
  * @param aWorkTime the time for which the servers work on a large request.
