Discard the response to another request

Cause: a backend server in trouble repeats an answer where the answer to the next request of the connection is due. RequestRelay asked whether the response is a refusal before it compared the echoed request id, so the copy of another request's refusal counted. The same holds for what BackendClient reads of each head, for reward calls, and for orders and reports, which were never compared.

Change: the HTTP client compares the echoed id as soon as a head is in. A response to another request is discarded (log event foreign_response), and the call waits for its own on the same connection, so that the request is served; it ends as before if that never comes. A refusal without any id is accepted only for a request that may run again.

--- a/src/auburntrestle/fleet/backend_client.cpp
+++ b/src/auburntrestle/fleet/backend_client.cpp
@@ -11,9 +11,11 @@
 
 BackendClient::BackendClient(event_loop::EventLoop& aLoop,
                              http::ClientOptions aOptions,
+                             std::string aRequestIdField,
                              BackendStatementReader aReadStatement,
                              observe::Instruments& aInstruments)
   : m_client(aLoop, aOptions)
+  , m_requestIdField(std::move(aRequestIdField))
   , m_readStatement(std::move(aReadStatement))
   , m_instruments(aInstruments)
 {
@@ -33,8 +35,15 @@
       HandleHead(aBackend, now, aHead);
       onHead(aHead);
     };
+  const std::string id(aRequest.m_headers.Find(m_requestIdField).value_or(""));
+  aHandlers.m_onForeignHead =
+    [this, aBackend, id](const http::ResponseHead& aHead) {
+      HandleForeignHead(aBackend, id, aHead);
+    };
+  http::CallOptions options = aOptions;
+  options.m_correlation = http::Correlation{ m_requestIdField, id };
   return m_client.Start(
-    aBackend.m_address, aRequest, aOptions, std::move(aHandlers));
+    aBackend.m_address, aRequest, options, std::move(aHandlers));
 }
 
 std::shared_ptr<http::Call> BackendClient::Fetch(
@@ -68,6 +77,18 @@
   }
 }
 
+void BackendClient::HandleForeignHead(const BackendRecord& aBackend,
+                                      std::string_view aRequestId,
+                                      const http::ResponseHead& aHead)
+{
+  m_instruments.Count(observe::counters::kBackendFailures, "foreign_response");
+  LogLine(LogLevel::Info, "foreign_response")
+    .Add("backend", aBackend.m_id)
+    .Add("request", aRequestId)
+    .Add("response_to", aHead.m_headers.Find(m_requestIdField).value_or(""))
+    .Add("status", aHead.m_status);
+}
+
 void BackendClient::RecordDraining(const BackendRecord& aBackend)
 {
   if (!m_draining.Record(aBackend.Process(), MonotonicClock::Now())) {
--- a/src/auburntrestle/fleet/backend_client.hpp
+++ b/src/auburntrestle/fleet/backend_client.hpp
@@ -13,19 +13,23 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace auburntrestle::fleet {
 
 /**
  * Sends all requests of this instance to backend servers, of whatever kind, and
  * tracks what the servers state about themselves in the heads of their
- * responses.
+ * responses. A response that echoes the id of another request is discarded: it
+ * says nothing about the request that waits on the connection.
  */
 class BackendClient
 {
 public:
+  /** @param aRequestIdField the header field with the id of a request. */
   BackendClient(event_loop::EventLoop& aLoop,
                 http::ClientOptions aOptions,
+                std::string aRequestIdField,
                 BackendStatementReader aReadStatement,
                 observe::Instruments& aInstruments);
 
@@ -60,12 +64,17 @@
   void HandleHead(const BackendRecord& aBackend,
                   TimePoint aSentAt,
                   const http::ResponseHead& aHead);
+  /** Records a response to another request than the one with this id. */
+  void HandleForeignHead(const BackendRecord& aBackend,
+                         std::string_view aRequestId,
+                         const http::ResponseHead& aHead);
   void RecordDraining(const BackendRecord& aBackend);
   void RecordLimit(const BackendProcess& aBackend,
                    std::optional<RequestRate> aLimit,
                    TimePoint aSentAt);
 
   http::Client m_client;
+  std::string m_requestIdField;
   BackendStatementReader m_readStatement;
   observe::Instruments& m_instruments;
   BackendRateLimits m_limits;
--- a/src/auburntrestle/fleet/engine_protocol.hpp
+++ b/src/auburntrestle/fleet/engine_protocol.hpp
@@ -108,6 +108,9 @@
     m_itemRequest;
   std::function<ItemResponseHead(const JobItem&, const http::ResponseHead&)>
     m_readItemHead;
+  /** Name of the header field with the id of a request, which a response
+   * echoes. */
+  std::string m_requestIdField;
   /** Name of the event field that announces a change of the weight version. */
   std::string m_versionField;
   std::function<http::Request(const BackendId&)> m_reportRequest;
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -41,6 +41,7 @@
   , m_random(std::random_device()())
   , m_client(aLoop,
              MakeClientOptions(m_options.m_responseLimits),
+             aHeaders.m_requestId,
              m_options.m_readStatement,
              *m_options.m_instruments)
   , m_chooser(m_options.m_dataCentre)
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -266,14 +266,17 @@
     HandleFailure(aRelayed, aAttempt, aResponse.error());
     return;
   }
-  if (IsRefusal(*aResponse)) {
+  const auto echoed = aResponse->m_headers.Find(m_headers.m_requestId);
+  const bool isOwn = echoed.value_or("") == aRelayed->m_requestId;
+  // A refusal that names no request may be a late copy of another one. It only
+  // matters for a request that must not run twice.
+  if (IsRefusal(*aResponse) && (isOwn || aRelayed->m_idempotent)) {
     HandleRefusal(aRelayed, aAttempt, aResponse->m_status);
     return;
   }
-  const auto echoed = aResponse->m_headers.Find(m_headers.m_requestId);
   const bool signedByBackend =
     aResponse->m_headers.Find(m_headers.m_signature).has_value();
-  if (!echoed || *echoed != aRelayed->m_requestId || !signedByBackend) {
+  if (IsRefusal(*aResponse) || !isOwn || !signedByBackend) {
     HandleFailure(aRelayed, aAttempt, http::CallFailure::Malformed);
     return;
   }
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -97,6 +97,7 @@
   m_client = std::make_unique<BackendClient>(
     m_loop,
     MakeClientOptions(m_options.m_responseLimits),
+    m_protocol.m_requestIdField,
     m_options.m_readStatement,
     *m_options.m_instruments);
   m_engines = std::make_unique<EnginePool>(
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -52,9 +52,20 @@
   std::function<void(const ResponseHead&)> m_onHead;
   std::function<void(std::string_view)> m_onBody;
   std::function<void(tl::expected<void, CallFailure>)> m_onDone;
+  /** A response to another request was received and is discarded. */
+  std::function<void(const ResponseHead&)> m_onForeignHead = nullptr;
 };
 
-/** Time limits of a call. */
+/** A header field by which a server marks the request that a response belongs
+ * to. */
+struct Correlation
+{
+  std::string m_field;
+  /** The value that the server echoes; empty if the request has none. */
+  std::string m_value;
+};
+
+/** Limits of a call, and how its response is recognised. */
 struct CallOptions
 {
   /** For establishing the connection. TCP retransmits a lost SYN only after a
@@ -65,6 +76,10 @@
   /** Maximum bytes of the response with its head; the client's limit if absent.
    */
   std::optional<std::size_t> m_maxResponseBytes = std::nullopt;
+  /** A response whose field has another value belongs to another request: it is
+   * discarded, and the call waits for the next response of the connection. A
+   * response without the field is accepted. */
+  std::optional<Correlation> m_correlation = std::nullopt;
 };
 
 /** Limits of a client. */
@@ -103,7 +118,8 @@
 /**
  * An HTTP/1.1 client on an event loop that reuses connections. A connection is
  * closed when it receives bytes that belong to no request, and when a response
- * ended before its request was sent completely.
+ * ended before its request was sent completely. A server in trouble may repeat
+ * the response to an earlier request, which CallOptions::m_correlation detects.
  */
 class Client
 {
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 #include <utility>
 
 namespace auburntrestle::http::internal {
@@ -89,10 +90,9 @@
   CancelTimer(m_stageTimer);
   m_handlers = std::move(aHandlers);
   m_output = Serialise(aRequest);
-  m_parser.Reset();
-  if (aRequest.m_method == "HEAD") {
-    m_parser.ExpectNoBody();
-  }
+  m_correlation = aOptions.m_correlation;
+  m_expectsNoBody = aRequest.m_method == "HEAD";
+  ResetParser();
   m_headReported = false;
   m_maxResponseBytes =
     aOptions.m_maxResponseBytes.value_or(m_pool->m_options.m_maxResponseBytes);
@@ -192,7 +192,7 @@
   }
   if (aError == asio::error::eof) {
     m_parser.FeedEnd();
-    if (m_parser.GetProgress() == Progress::Complete) {
+    if (m_parser.GetProgress() == Progress::Complete && !IsForeign()) {
       ReportProgress();
       OnComplete(true);
       return;
@@ -207,15 +207,55 @@
     Finish(tl::make_unexpected(CallFailure::TooLarge));
     return;
   }
-  const std::size_t used = m_parser.Feed(aBytes);
-  if (m_parser.GetProgress() == Progress::Malformed) {
-    Finish(tl::make_unexpected(CallFailure::Malformed));
+  const auto self = shared_from_this();
+  bool isForeign = false;
+  do {
+    aBytes.remove_prefix(m_parser.Feed(aBytes));
+    if (m_parser.GetProgress() == Progress::Malformed) {
+      Finish(tl::make_unexpected(CallFailure::Malformed));
+      return;
+    }
+    isForeign = IsForeign();
+  } while (isForeign && DiscardForeign() && !aBytes.empty());
+  if (isForeign) {
     return;
   }
-  const auto self = shared_from_this();
   ReportProgress();
   if (m_handlers && m_parser.GetProgress() == Progress::Complete) {
-    OnComplete(used < aBytes.size());
+    OnComplete(!aBytes.empty());
+  }
+}
+
+bool ClientConnection::IsForeign() const
+{
+  if (!m_correlation || m_headReported ||
+      m_parser.GetProgress() == Progress::Headers) {
+    return false;
+  }
+  const auto echoed = m_parser.GetHeaders().Find(m_correlation->m_field);
+  return echoed && *echoed != m_correlation->m_value;
+}
+
+bool ClientConnection::DiscardForeign()
+{
+  if (!std::exchange(m_foreignReported, true) && m_handlers->m_onForeignHead) {
+    const auto onForeignHead = m_handlers->m_onForeignHead;
+    onForeignHead(ResponseHead{ m_parser.Status(), m_parser.GetHeaders() });
+  }
+  std::ignore = m_parser.ExtractBody();
+  if (m_parser.GetProgress() != Progress::Complete) {
+    return false;
+  }
+  ResetParser();
+  return true;
+}
+
+void ClientConnection::ResetParser()
+{
+  m_foreignReported = false;
+  m_parser.Reset();
+  if (m_expectsNoBody) {
+    m_parser.ExpectNoBody();
   }
 }
 
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -71,6 +71,13 @@
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
   void HandleBytes(std::string_view aBytes);
+  /** @return whether the response being received belongs to another request. */
+  [[nodiscard]] bool IsForeign() const;
+  /** Handles received bytes of a foreign response.
+   * @return whether it is complete, so that the next response follows. */
+  bool DiscardForeign();
+  /** Prepares the parser for the next response. */
+  void ResetParser();
   /** Adds received bytes to the response in progress.
    * @return whether it is within its limits. */
   [[nodiscard]] bool CountReceived(std::size_t aBytes);
@@ -92,6 +99,7 @@
   std::array<char, kReadBytes> m_buffer{};
   Parser m_parser{ MessageKind::Response };
   std::optional<CallHandlers> m_handlers;
+  std::optional<Correlation> m_correlation;
   std::string m_output;
   Headers m_lastHeaders;
   std::optional<timer::TimerId> m_callTimer;
@@ -100,6 +108,8 @@
   bool m_writing = false;
   bool m_reading = false;
   bool m_headReported = false;
+  bool m_foreignReported = false;
+  bool m_expectsNoBody = false;
   std::size_t m_receivedBytes = 0;
   std::size_t m_maxResponseBytes = 0;
   bool m_closed = false;
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -151,6 +151,113 @@
   EXPECT_EQ(server.AcceptedCount(), 2U);
 }
 
+struct CorrelationCase
+{
+  std::string m_name;
+  /** What the server sends, in this many bytes at a time. */
+  std::string m_bytes;
+  std::size_t m_pieceBytes = 1000;
+  Ending m_ending = Ending::Keep;
+  /** Absent when there is no complete response. */
+  std::optional<std::string> m_body = std::nullopt;
+  CallFailure m_failure = CallFailure::IncompleteResponse;
+  /** The id of the request; empty for none. */
+  std::string m_id = "own";
+};
+
+class CorrelationTest
+  : public ClientTest
+  , public testing::WithParamInterface<CorrelationCase>
+{};
+
+// Guards against a repeated response to an earlier request that is taken for
+// the response to the request which waits on the connection.
+TEST_P(CorrelationTest, SkipsResponsesToOtherRequests)
+{
+  RawServer server(m_loop, [](RawPeer& aPeer) {
+    const auto& param = GetParam();
+    for (std::size_t at = 0; at < param.m_bytes.size();
+         at += param.m_pieceBytes) {
+      aPeer.Send(param.m_bytes.substr(at, param.m_pieceBytes));
+    }
+    if (param.m_ending == Ending::Close) {
+      aPeer.Close();
+    }
+  });
+  Request request;
+  request.m_method = "POST";
+  request.m_target = "/";
+  CallOptions options;
+  options.m_timeout = std::chrono::milliseconds(300);
+  options.m_maxResponseBytes = 2000;
+  options.m_correlation = Correlation{ "Id", GetParam().m_id };
+  std::optional<FetchResult> response;
+  const auto call =
+    Fetch(m_client, server.Address(), request, options, [&](auto aResponse) {
+      response = std::move(aResponse);
+    });
+  RunUntil(m_loop, [&] { return response.has_value(); });
+  ASSERT_EQ(response->has_value(), GetParam().m_body.has_value());
+  if (*response) {
+    EXPECT_EQ((*response)->m_body, *GetParam().m_body);
+  } else {
+    EXPECT_EQ(response->error(), GetParam().m_failure);
+  }
+  EXPECT_EQ(m_client.ReceivedBytes(), 0U);
+}
+
+std::string ResponseWithId(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\n" + aId +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+const std::string kForeignResponse = ResponseWithId("Id: other\r\n", "foreign");
+const std::string kOwnResponse = ResponseWithId("Id: own\r\n", "mine");
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  CorrelationTest,
+  testing::Values(
+    CorrelationCase{ .m_name = "own",
+                     .m_bytes = kOwnResponse,
+                     .m_body = "mine" },
+    CorrelationCase{ .m_name = "foreign_then_own",
+                     .m_bytes = kForeignResponse + kOwnResponse,
+                     .m_body = "mine" },
+    CorrelationCase{ .m_name = "in_small_pieces",
+                     .m_bytes = kForeignResponse + kForeignResponse +
+                                kOwnResponse,
+                     .m_pieceBytes = 3,
+                     .m_body = "mine" },
+    CorrelationCase{ .m_name = "foreign_chunks",
+                     .m_bytes = "HTTP/1.1 200 OK\r\nId: other\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nbo\r\n0\r\n\r\n" +
+                                kOwnResponse,
+                     .m_body = "mine" },
+    CorrelationCase{ .m_name = "foreign_only",
+                     .m_bytes = kForeignResponse,
+                     .m_failure = CallFailure::TimedOut },
+    CorrelationCase{ .m_name = "foreign_then_closed",
+                     .m_bytes = kForeignResponse,
+                     .m_ending = Ending::Close },
+    CorrelationCase{ .m_name = "foreign_without_length",
+                     .m_bytes = "HTTP/1.1 200 OK\r\nId: other\r\n\r\nbytes",
+                     .m_ending = Ending::Close },
+    CorrelationCase{
+      .m_name = "foreign_beyond_the_limit",
+      .m_bytes = ResponseWithId("Id: other\r\n", std::string(3000, 'x')),
+      .m_failure = CallFailure::TooLarge },
+    CorrelationCase{ .m_name = "without_id",
+                     .m_bytes = ResponseWithId("", "body"),
+                     .m_body = "body" },
+    CorrelationCase{ .m_name = "request_without_id",
+                     .m_bytes = kForeignResponse + ResponseWithId("", "body"),
+                     .m_body = "body",
+                     .m_id = "" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against reusing a connection on which the server still expects the
 // rest of a request body.
 TEST_F(ClientTest, AnEarlyResponseEndsTheConnection)
