--- a/src/auburntrestle/consensus/events.hpp
+++ b/src/auburntrestle/consensus/events.hpp
@@ -24,7 +24,7 @@
 struct Propose
 {
   ProposalId m_id;
-  std::string m_command;
+  SharedBytes m_command;
 };
 
 /**
--- a/src/auburntrestle/consensus/file_storage.cpp
+++ b/src/auburntrestle/consensus/file_storage.cpp
@@ -579,6 +579,16 @@
   if (auto usable = CheckUsable(); !usable) {
     return usable;
   }
+  if (m_pendingBytes.empty()) {
+    m_pendingBytes.assign(kRecordHeaderSize, '\0');
+  }
+  std::size_t bytes = m_pendingBytes.size();
+  for (const Entry& entry : aEntries) {
+    bytes += SizeOf(entry);
+  }
+  if (bytes > m_pendingBytes.capacity()) {
+    m_pendingBytes.reserve(std::max(bytes, 2 * m_pendingBytes.capacity()));
+  }
   Encoder encoder(m_pendingBytes);
   for (const Entry& entry : aEntries) {
     encoder.WriteEntry(entry);
@@ -605,15 +615,18 @@
 
 FileStorage::Result FileStorage::WriteRecord()
 {
-  const auto length = static_cast<std::uint32_t>(m_pendingBytes.size());
-  std::string record;
-  record.reserve(kRecordHeaderSize + m_pendingBytes.size());
-  Encoder encoder(record);
+  const auto payload =
+    std::string_view(m_pendingBytes).substr(kRecordHeaderSize);
+  const auto length = static_cast<std::uint32_t>(payload.size());
+  std::string header;
+  Encoder encoder(header);
   encoder.WriteUint32(kRecordMagic);
   encoder.WriteUint32(length);
   encoder.WriteUint32(HeaderChecksum(length, m_segmentNumber, m_segmentSize));
-  encoder.WriteUint64(ChecksumOf(m_pendingBytes));
-  record += m_pendingBytes;
+  encoder.WriteUint64(ChecksumOf(payload));
+  // Written over the space left for it, because a record can be large.
+  const std::string record =
+    std::exchange(m_pendingBytes, {}).replace(0, kRecordHeaderSize, header);
   const std::string path = SegmentPath(m_segmentNumber);
   if (auto written = m_files->Write(m_segment, record); !written) {
     return Fail(
@@ -626,7 +639,6 @@
   m_segmentSize += record.size();
   LogIndex& last = m_segments[m_segmentNumber];
   last = std::max(last, m_pendingLast);
-  m_pendingBytes.clear();
   m_pendingLast = LogIndex(0);
   return {};
 }
--- a/src/auburntrestle/consensus/file_storage.hpp
+++ b/src/auburntrestle/consensus/file_storage.hpp
@@ -122,7 +122,8 @@
    * are from before the last reset and are ignored. */
   std::uint64_t m_firstValidSegment = 0;
   Segments m_segments;
-  /** Encoded entries that the next Sync writes as one record. */
+  /** Encoded entries that the next Sync writes as one record, after space for
+   * its header; empty if there are none. */
   std::string m_pendingBytes;
   LogIndex m_pendingLast;
   bool m_failed = false;
--- a/src/auburntrestle/consensus/internal/log.cpp
+++ b/src/auburntrestle/consensus/internal/log.cpp
@@ -52,6 +52,26 @@
   return entries;
 }
 
+LogIndex Log::StartOfTrailing(LogIndex aLast,
+                              std::size_t aEntries,
+                              std::size_t aBytes) const noexcept
+{
+  std::size_t bytes = 0;
+  LogIndex start = aLast;
+  for (std::size_t count = 0; count < aEntries; ++count) {
+    const Entry* entry = At(start);
+    if (entry == nullptr) {
+      break;
+    }
+    bytes += SizeOf(*entry);
+    if (bytes > aBytes) {
+      break;
+    }
+    start = LogIndex(start.Get() - 1);
+  }
+  return start;
+}
+
 void Log::Append(std::span<const Entry> aEntries)
 {
   if (aEntries.empty()) {
--- a/src/auburntrestle/consensus/internal/log.hpp
+++ b/src/auburntrestle/consensus/internal/log.hpp
@@ -40,6 +40,14 @@
   [[nodiscard]] std::vector<Entry> Slice(LogIndex aFrom,
                                          std::size_t aMaxBytes) const;
 
+  /**
+   * @return the index after which the entries up to aLast are at most aEntries
+   * entries with at most aBytes bytes; the base at the least.
+   */
+  [[nodiscard]] LogIndex StartOfTrailing(LogIndex aLast,
+                                         std::size_t aEntries,
+                                         std::size_t aBytes) const noexcept;
+
   /** Appends entries; replaces existing ones from their first index on. */
   void Append(std::span<const Entry> aEntries);
   /** Erases entries up to an index, which must be held or be the base. */
--- a/src/auburntrestle/consensus/internal/progress.hpp
+++ b/src/auburntrestle/consensus/internal/progress.hpp
@@ -42,6 +42,8 @@
   TimePoint m_lastProgress;
   std::deque<Inflight> m_inflight;
   std::size_t m_inflightBytes = 0;
+  /** Bytes sent since m_lastProgress, or before it and not acknowledged. */
+  std::size_t m_unacknowledgedBytes = 0;
   std::uint64_t m_round = 0;
   TimePoint m_lastContact;
   TimePoint m_snapshotSent;
--- a/src/auburntrestle/consensus/node.cpp
+++ b/src/auburntrestle/consensus/node.cpp
@@ -333,11 +333,9 @@
        index = index.Next()) {
     m_bytesSinceSnapshot += SizeOf(*m_log.At(index));
   }
-  const std::uint64_t trailing = m_options.m_trailingEntries;
-  if (m_snapshot.m_index.Get() > trailing) {
-    m_log.EraseUpTo(std::max(m_log.Base().m_index,
-                             LogIndex(m_snapshot.m_index.Get() - trailing)));
-  }
+  m_log.EraseUpTo(m_log.StartOfTrailing(m_snapshot.m_index,
+                                        m_options.m_trailingEntries,
+                                        m_options.m_trailingBytes));
 }
 
 void Node::RequestSnapshotIfDue()
--- a/src/auburntrestle/consensus/node_replication.cpp
+++ b/src/auburntrestle/consensus/node_replication.cpp
@@ -104,6 +104,7 @@
   if (aProgress.m_mode == internal::SendMode::Probe ||
       !aProgress.IsAwaitingAcknowledgement()) {
     aProgress.m_lastProgress = m_now;
+    aProgress.m_unacknowledgedBytes = 0;
   }
   const LogIndex previous(aProgress.m_next.Get() - 1);
   AppendRequest request;
@@ -112,12 +113,13 @@
   request.m_entries =
     m_log.Slice(aProgress.m_next, m_options.m_maxMessageBytes);
   request.m_commit = m_commit;
+  std::size_t bytes = 0;
+  for (const Entry& entry : request.m_entries) {
+    bytes += SizeOf(entry);
+  }
+  aProgress.m_unacknowledgedBytes += bytes;
   if (aProgress.m_mode == internal::SendMode::Stream &&
       !request.m_entries.empty()) {
-    std::size_t bytes = 0;
-    for (const Entry& entry : request.m_entries) {
-      bytes += SizeOf(entry);
-    }
     const LogIndex last = request.m_entries.back().m_index;
     aProgress.m_inflight.push_back({ last, bytes });
     aProgress.m_inflightBytes += bytes;
@@ -200,8 +202,13 @@
 
 void Node::ResendIfOverdue(internal::Progress& aProgress) const
 {
+  // A message that is still being transferred must not be sent twice.
+  const auto transfer =
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(aProgress.m_unacknowledgedBytes) /
+      static_cast<double>(m_options.m_minTransferRate)));
   if (!aProgress.IsAwaitingAcknowledgement() ||
-      m_now < aProgress.m_lastProgress + m_options.m_resendTimeout) {
+      m_now < aProgress.m_lastProgress + m_options.m_resendTimeout + transfer) {
     return;
   }
   if (aProgress.m_mode == internal::SendMode::Probe) {
@@ -297,6 +304,7 @@
     }
     progress.Acknowledge(aBody.m_match);
     progress.m_lastProgress = m_now;
+    progress.m_unacknowledgedBytes = progress.m_inflightBytes;
     RecordAcknowledged(AcknowledgedState{
       aMessage.m_from,
       aMessage.m_session.m_boot,
--- a/src/auburntrestle/consensus/options.hpp
+++ b/src/auburntrestle/consensus/options.hpp
@@ -79,6 +79,9 @@
    * timeout with a transport that loses messages only when a connection breaks:
    * entries that are only slow must not be sent twice. */
   Duration m_resendTimeout = std::chrono::milliseconds(50);
+  /** Bytes per second at which entries reach a member at the least; large
+   * entries are resent correspondingly later. */
+  std::size_t m_minTransferRate = std::size_t{ 8 } * 1024 * 1024;
   /** Maximum bytes of uncommitted entries; further proposals are rejected. */
   std::size_t m_maxUncommittedBytes = std::size_t{ 16 } * 1024 * 1024;
   /** Maximum bytes of one command. */
@@ -96,6 +99,8 @@
   /** Number of entries before a snapshot that stay in memory, so that a member
    * that is slightly behind needs no snapshot. */
   std::size_t m_trailingEntries = 1000;
+  /** Maximum bytes of these entries. */
+  std::size_t m_trailingBytes = std::size_t{ 4 } * 1024 * 1024;
   /** Maximum number of entries that a promoted learner may be behind. */
   std::size_t m_maxPromotionLag = 16;
   /** Promote learners that have caught up without a PromoteLearner change. */
--- a/src/auburntrestle/fleet/codec.cpp
+++ b/src/auburntrestle/fleet/codec.cpp
@@ -75,6 +75,8 @@
       return "too_few_remain";
     case CommandResult::Conflict:
       return "conflict";
+    case CommandResult::NoRoom:
+      return "no_room";
   }
   return "unknown";
 }
--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -151,6 +151,9 @@
   TooFewRemain,
   /** Contradicts the recorded state, such as another job with a known id. */
   Conflict,
+  /** Not applied, and never will be: the command is too large, or too many
+   * bytes are being replicated. */
+  NoRoom,
 };
 
 /** @return the stable name of a result, such as "not_found". */
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -30,6 +30,16 @@
 constexpr Duration kPermitRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kEndJobTimeout = std::chrono::milliseconds(2000);
 
+SubmitOutcome OutcomeOf(const tl::expected<CommandResult, LinkError>& aResult)
+{
+  if (!aResult) {
+    return aResult.error() == LinkError::NotRun ? SubmitOutcome::NotAccepted
+                                                : SubmitOutcome::Unknown;
+  }
+  return *aResult == CommandResult::NoRoom ? SubmitOutcome::NotAccepted
+                                           : SubmitOutcome::Accepted;
+}
+
 } // namespace
 
 EntryService::EntryService(event_loop::EventLoop& aLoop,
@@ -241,10 +251,7 @@
                   aTimeout,
                   [id, callback = std::move(aCallback)](
                     const tl::expected<CommandResult, LinkError>& aResult) {
-                    const auto outcome = aResult ? SubmitOutcome::Accepted
-                                         : aResult.error() == LinkError::NotRun
-                                           ? SubmitOutcome::NotAccepted
-                                           : SubmitOutcome::Unknown;
+                    const auto outcome = OutcomeOf(aResult);
                     LogLine(LogLevel::Info, "job_submitted")
                       .Add("job", id)
                       .Add("outcome", static_cast<int>(outcome));
--- a/src/auburntrestle/fleet/instance_options.hpp
+++ b/src/auburntrestle/fleet/instance_options.hpp
@@ -41,6 +41,7 @@
   ConfigurationReader m_readConfiguration;
   BackendStatementReader m_readStatement;
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
+  RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
   std::shared_ptr<observe::Instruments> m_instruments =
     std::make_shared<observe::Instruments>();
 };
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -207,6 +207,9 @@
   if (limits.m_receivedBytes < limits.m_responseBytes) {
     reader.AddFault("limits.received_mb", "less than limits.response_mb");
   }
+  RequestLimits& requests = settings.m_requestLimits;
+  reader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
+  reader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
   if (settings.m_role == InstanceRole::Store) {
     ReadStore(reader, settings);
   } else {
@@ -250,6 +253,9 @@
   compare(
     restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
   compare(restart, "limits", &FleetSettings::m_responseLimits);
+  if (restart.empty() || restart.back() != "limits") {
+    compare(restart, "limits", &FleetSettings::m_requestLimits);
+  }
   return change;
 }
 
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -56,6 +56,8 @@
   Duration m_jobRetention = std::chrono::seconds(120);
   /** Limits on responses of backend servers. */
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
+  /** Limits on large requests of callers. */
+  RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
 };
 
 /** One fault of a settings file. */
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -15,7 +15,7 @@
   fleet::ItemState::Lost;
 template<>
 inline constexpr fleet::CommandResult kLastValue<fleet::CommandResult> =
-  fleet::CommandResult::Conflict;
+  fleet::CommandResult::NoRoom;
 template<>
 inline constexpr fleet::Retirement kLastValue<fleet::Retirement> =
   fleet::Retirement::Completed;
@@ -38,9 +38,18 @@
            aRecord.m_sequence);
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::OutputReference> auto& aReference)
+{
+  aArchive(aReference.m_segment, aReference.m_offset, aReference.m_bytes);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::RewardCall> auto& aCall)
 {
-  aArchive(aCall.m_id, aCall.m_host, aCall.m_path, aCall.m_body);
+  aArchive(aCall.m_id,
+           aCall.m_host,
+           aCall.m_path,
+           aCall.m_body,
+           Appended{ aCall.m_storedBody });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::JobItem> auto& aItem)
@@ -51,7 +60,8 @@
            aItem.m_body,
            aItem.m_group,
            aItem.m_expectedTokens,
-           Appended{ aItem.m_reward });
+           Appended{ aItem.m_reward },
+           Appended{ aItem.m_storedBody });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::JobSpec> auto& aSpec)
@@ -140,11 +150,6 @@
   aArchive(aCommand.m_engine, aCommand.m_model, aCommand.m_version);
 }
 
-void Fields(auto& aArchive, MaybeConst<fleet::OutputReference> auto& aReference)
-{
-  aArchive(aReference.m_segment, aReference.m_offset, aReference.m_bytes);
-}
-
 void Fields(auto& aArchive, MaybeConst<fleet::StoredResult> auto& aResult)
 {
   aArchive(aResult.m_id,
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,6 +50,9 @@
   std::string m_host;
   std::string m_path;
   std::string m_body;
+  /** The location of the body if the state machine has stored it; m_body is
+   * empty then. */
+  std::optional<OutputReference> m_storedBody = std::nullopt;
 
   friend bool operator==(const RewardCall&, const RewardCall&) = default;
 };
@@ -65,8 +69,21 @@
   std::uint64_t m_expectedTokens = 0;
   /** Present if the item is complete only with a score. */
   std::optional<RewardCall> m_reward = std::nullopt;
+  /** The location of the body if the state machine has stored it; m_body is
+   * empty then. */
+  std::optional<OutputReference> m_storedBody = std::nullopt;
+
+  /** @return whether the body or the one of the reward call is stored. */
+  [[nodiscard]] bool HasStoredBody() const noexcept
+  {
+    return m_storedBody || (m_reward && m_reward->m_storedBody);
+  }
 };
 
+/** Reads the stored bodies of an item. */
+using ItemLoader =
+  std::function<tl::expected<JobItem, OutputStoreError>(const JobItem&)>;
+
 /** A batch job as submitted. */
 struct JobSpec
 {
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -33,6 +33,7 @@
                      EnginePool& aEngines,
                      RewardCaller& aRewards,
                      ProposeFunction aPropose,
+                     ItemLoader aLoadItem,
                      observe::Instruments& aInstruments,
                      std::uint64_t aSeed)
   : m_loop(aLoop)
@@ -41,6 +42,7 @@
   , m_engines(aEngines)
   , m_rewards(aRewards)
   , m_propose(std::move(aPropose))
+  , m_loadItem(std::move(aLoadItem))
   , m_random(aSeed)
   , m_instruments(aInstruments)
 {
@@ -231,15 +233,45 @@
     }
     return false;
   }
-  StartRun(aItem, *engine);
-  return true;
+  return StartRun(aItem, *engine);
+}
+
+std::optional<http::Request> JobRunner::MakeItemRequest(
+  const Item& aItem,
+  const BackendId& aEngine,
+  Duration aTimeLeft) const
+{
+  const JobSpec& spec = *aItem.m_job->m_spec;
+  const auto lastEvent = aItem.m_transcript.LastEvent();
+  if (!aItem.Spec().HasStoredBody()) {
+    return m_protocol.m_itemRequest(
+      spec, aItem.Spec(), aEngine, aTimeLeft, lastEvent);
+  }
+  const auto loaded = m_loadItem(aItem.Spec());
+  if (!loaded) {
+    LogLine(LogLevel::Error, "item_body_unreadable")
+      .Add("job", spec.m_id)
+      .Add("item", aItem.Spec().m_id)
+      .Add("file", loaded.error().m_file)
+      .Add("error", loaded.error().m_systemError);
+    return std::nullopt;
+  }
+  return m_protocol.m_itemRequest(spec, *loaded, aEngine, aTimeLeft, lastEvent);
 }
 
-void JobRunner::StartRun(const ItemPtr& aItem, const BackendId& aEngine)
+bool JobRunner::StartRun(const ItemPtr& aItem, const BackendId& aEngine)
 {
   const JobSpec& spec = *aItem->m_job->m_spec;
   const JobItem& item = spec.m_items[aItem->m_index];
   const Route* route = m_routes->Match(spec.m_host, item.m_path);
+  constexpr Duration kMinTimeout = std::chrono::seconds(1);
+  const Duration left = std::max(
+    Duration(aItem->m_job->m_acceptedAt + route->m_itemLifetime - WallNow()),
+    kMinTimeout);
+  const auto request = MakeItemRequest(*aItem, aEngine, left);
+  if (!request) {
+    return false;
+  }
   aItem->m_engine = aEngine;
   aItem->m_head.reset();
   aItem->m_startedAt = MonotonicClock::Now();
@@ -248,21 +280,16 @@
   if (route->m_singleVersion) {
     m_engines.SetPinned(aEngine, true);
   }
-  constexpr Duration kMinTimeout = std::chrono::seconds(1);
-  const Duration left = std::max(
-    Duration(aItem->m_job->m_acceptedAt + route->m_itemLifetime - WallNow()),
-    kMinTimeout);
   http::CallOptions options;
   options.m_timeout = left;
-  const auto lastEvent = aItem->m_transcript.LastEvent();
   LogLine(LogLevel::Info, "item_started")
     .Add("job", spec.m_id)
     .Add("item", item.m_id)
     .Add("engine", aEngine)
-    .Add("after_event", lastEvent.value_or(0));
+    .Add("after_event", aItem->m_transcript.LastEvent().value_or(0));
   aItem->m_call = m_client.Start(
     *m_engines.RecordOf(aEngine),
-    m_protocol.m_itemRequest(spec, item, aEngine, left, lastEvent),
+    *request,
     options,
     http::CallHandlers{
       [this, aItem](const http::ResponseHead& aHead) { OnHead(aItem, aHead); },
@@ -271,6 +298,7 @@
         OnDone(aItem, aResult);
       } });
   m_engines.RefreshPermit(aEngine);
+  return true;
 }
 
 void JobRunner::OnHead(const ItemPtr& aItem, const http::ResponseHead& aHead)
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -42,6 +42,7 @@
             EnginePool& aEngines,
             RewardCaller& aRewards,
             ProposeFunction aPropose,
+            ItemLoader aLoadItem,
             observe::Instruments& aInstruments,
             std::uint64_t aSeed);
   ~JobRunner();
@@ -92,7 +93,13 @@
   [[nodiscard]] ItemRequirements RequirementsOf(const Item& aItem) const;
   /** @return false if no engine of the item's service has a free slot. */
   bool TryStart(const ItemPtr& aItem);
-  void StartRun(const ItemPtr& aItem, const BackendId& aEngine);
+  /** Starts a run. @return false if the body of the item can't be read. */
+  bool StartRun(const ItemPtr& aItem, const BackendId& aEngine);
+  /** @return the request for an item, or nothing if its body can't be read. */
+  [[nodiscard]] std::optional<http::Request> MakeItemRequest(
+    const Item& aItem,
+    const BackendId& aEngine,
+    Duration aTimeLeft) const;
   void OnHead(const ItemPtr& aItem, const http::ResponseHead& aHead);
   void OnBody(const ItemPtr& aItem, std::string_view aBody);
   void OnDone(const ItemPtr& aItem,
@@ -118,6 +125,7 @@
   EnginePool& m_engines;
   RewardCaller& m_rewards;
   ProposeFunction m_propose;
+  ItemLoader m_loadItem;
   RandomSource m_random;
   std::shared_ptr<const RouteTable> m_routes;
   bool m_active = false;
--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/leader_link.hpp"
 
 #include "auburntrestle/fleet/codec.hpp"
+#include "auburntrestle/fleet/peer_link.hpp"
 #include "auburntrestle/observe/log.hpp"
 
 #include <algorithm>
@@ -70,13 +71,13 @@
   }
 }
 
-void LeaderLink::Propose(const Command& aCommand,
+void LeaderLink::Propose(Command aCommand,
                          Duration aTimeout,
                          CommandCallback aCallback)
 {
   auto pending = std::make_shared<Pending>();
   pending->m_method = kProposeMethod;
-  pending->m_command = aCommand;
+  pending->m_command = std::move(aCommand);
   pending->m_deadline = MonotonicClock::Now() + aTimeout;
   pending->m_callback = [callback = std::move(aCallback)](
                           tl::expected<ReplyBody, LinkError> aReply) {
@@ -222,13 +223,19 @@
   if (aPending->m_payload.empty()) {
     aPending->m_payload = aPending->m_command ? Encode(*aPending->m_command)
                                               : Encode(*aPending->m_query);
+    if (!m_local) {
+      // A job can be large, and only the encoded form is needed from here on.
+      aPending->m_command.reset();
+    }
   }
   const Duration left = aPending->m_deadline - MonotonicClock::Now();
   const auto sent = m_transport->Call(
     *target,
     aPending->m_method,
     aPending->m_payload,
-    std::min(left, kAttemptTimeout + aPending->m_maxWait),
+    std::min(left,
+             kAttemptTimeout + aPending->m_maxWait +
+               TransferTime(aPending->m_payload.size())),
     [this, aPending, target = *target](protocol::Expected<std::string> aReply) {
       m_loop.Post([this, aPending, target, reply = std::move(aReply)] {
         HandleReply(aPending, target, reply);
--- a/src/auburntrestle/fleet/leader_link.hpp
+++ b/src/auburntrestle/fleet/leader_link.hpp
@@ -75,9 +75,7 @@
    * first request. */
   void SetTransport(protocol::PeerTransport* aTransport);
 
-  void Propose(const Command& aCommand,
-               Duration aTimeout,
-               CommandCallback aCallback);
+  void Propose(Command aCommand, Duration aTimeout, CommandCallback aCallback);
   /** @param aMaxWait how long the leader may defer its reply. */
   void SendQuery(const Query& aQuery,
                  Duration aTimeout,
--- a/src/auburntrestle/fleet/memory_limits.cpp
+++ b/src/auburntrestle/fleet/memory_limits.cpp
@@ -17,8 +17,30 @@
 constexpr std::uint64_t kResponseDivisor = 16;
 constexpr std::uint64_t kReceivedDivisor = 5;
 
+constexpr std::uint64_t kMinRequestBytes = 8 * kMebibyte;
+constexpr std::uint64_t kMaxRequestBytes = 64 * kMebibyte;
+/** A job is held about two and a half times while it is submitted, as text,
+ * decoded and encoded. */
+constexpr double kBodyShare = 0.3;
+/** The leader holds a job about four times while it is replicated: as an entry,
+ * and in the messages to other members. */
+constexpr double kReplicatedJobShare = 0.165;
+
+std::size_t ShareOf(std::uint64_t aMemoryBytes, double aShare)
+{
+  const auto bytes =
+    static_cast<std::uint64_t>(static_cast<double>(aMemoryBytes) * aShare);
+  return std::clamp(bytes, kMinRequestBytes, kMaxRequestBytes);
+}
+
 } // namespace
 
+RequestLimits RequestLimitsFor(std::uint64_t aMemoryBytes) noexcept
+{
+  return { ShareOf(aMemoryBytes, kBodyShare),
+           ShareOf(aMemoryBytes, kReplicatedJobShare) };
+}
+
 std::uint64_t MachineMemory() noexcept
 {
   const long pages = ::sysconf(_SC_PHYS_PAGES);
--- a/src/auburntrestle/fleet/memory_limits.hpp
+++ b/src/auburntrestle/fleet/memory_limits.hpp
@@ -18,6 +18,18 @@
                          const ResponseLimits&) = default;
 };
 
+/** Limits on what large requests of callers may occupy in memory. */
+struct RequestLimits
+{
+  /** Maximum bytes of all large request bodies that an entry instance receives
+   * or processes at a time. */
+  std::size_t m_bodyBytes = 0;
+  /** Maximum encoded bytes of the jobs that a leader replicates at a time. */
+  std::size_t m_replicatedJobBytes = 0;
+
+  friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
+};
+
 /** @return the memory of this machine in bytes, or 0 if it is unknown. */
 [[nodiscard]] std::uint64_t MachineMemory() noexcept;
 
@@ -25,6 +37,8 @@
  * (0) the smallest ones. */
 [[nodiscard]] ResponseLimits ResponseLimitsFor(
   std::uint64_t aMemoryBytes) noexcept;
+[[nodiscard]] RequestLimits RequestLimitsFor(
+  std::uint64_t aMemoryBytes) noexcept;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/output_cache.cpp
+++ b/src/auburntrestle/fleet/output_cache.cpp
@@ -9,6 +9,11 @@
                       TimePoint aNow)
 {
   RemoveExpired(aNow);
+  if (aItem.HasStoredBody()) {
+    // Whether two such items are the same request is not known without reading
+    // their bodies.
+    return;
+  }
   m_entries.insert_or_assign(
     aItem.m_id,
     Entry{
@@ -32,8 +37,8 @@
   const bool fresh = aMinVersion == WeightVersion() ||
                      (!versions.empty() && versions.front() >= aMinVersion);
   const bool single = !aSingleVersion || versions.size() <= 1;
-  const bool same =
-    entry.m_path == aItem.m_path && entry.m_body == aItem.m_body;
+  const bool same = !aItem.HasStoredBody() && entry.m_path == aItem.m_path &&
+                    entry.m_body == aItem.m_body;
   if (!fresh || !single || !same) {
     return std::nullopt;
   }
--- a/src/auburntrestle/fleet/output_cache.hpp
+++ b/src/auburntrestle/fleet/output_cache.hpp
@@ -28,7 +28,7 @@
 class OutputCache
 {
 public:
-  /** Adds the output of an item. */
+  /** Adds the output of an item, unless a body of the item is stored. */
   void Add(const JobItem& aItem, CachedOutput aOutput, TimePoint aNow);
 
   /**
--- a/src/auburntrestle/fleet/output_store.cpp
+++ b/src/auburntrestle/fleet/output_store.cpp
@@ -102,7 +102,8 @@
 tl::expected<OutputReference, OutputStoreError> OutputStore::Append(
   std::string_view aOutput)
 {
-  if (m_descriptor < 0 || m_size >= kSegmentBytes) {
+  if (m_descriptor < 0 || m_size >= kSegmentBytes ||
+      std::exchange(m_segmentEnded, false)) {
     if (auto begun = BeginSegment(); !begun) {
       return tl::make_unexpected(begun.error());
     }
--- a/src/auburntrestle/fleet/output_store.hpp
+++ b/src/auburntrestle/fleet/output_store.hpp
@@ -25,6 +25,9 @@
   OutputSegment m_segment;
   std::uint64_t m_offset = 0;
   std::uint64_t m_bytes = 0;
+
+  friend bool operator==(const OutputReference&,
+                         const OutputReference&) = default;
 };
 
 /** Why an output could not be stored or read. */
@@ -36,10 +39,11 @@
 };
 
 /**
- * Stores the outputs of results in files, so that they occupy no memory and are
- * not part of the snapshots of the log. Segments are append-only and are copied
- * to other members unchanged. Appended data is durable after the next
- * successful Sync; until then the entries of the log can restore it.
+ * Stores the outputs of results and the large bodies of items in files, so that
+ * they occupy no memory and are not part of the snapshots of the log. Segments
+ * are append-only and are copied to other members unchanged. Appended data is
+ * durable after the next successful Sync; until then the entries of the log can
+ * restore it.
  */
 class OutputStore
 {
@@ -66,6 +70,10 @@
     std::string_view aOutput);
   [[nodiscard]] tl::expected<std::string, OutputStoreError> Read(
     const OutputReference& aReference);
+  /** Makes the next Append begin a new segment. Data that is needed for
+   * different times belongs in different segments, because a segment is removed
+   * as a whole. */
+  void EndSegment() noexcept { m_segmentEnded = m_size > 0; }
   /** Makes all appended data durable. */
   [[nodiscard]] tl::expected<void, OutputStoreError> Sync();
 
@@ -121,6 +129,7 @@
   /** Appended bytes that are not written to the file yet. */
   std::string m_pending;
   bool m_unsynced = false;
+  bool m_segmentEnded = false;
   /** Sizes of segments that are being copied from another member. */
   std::map<OutputSegment, std::uint64_t> m_incoming;
 };
--- a/src/auburntrestle/fleet/peer_link.hpp
+++ b/src/auburntrestle/fleet/peer_link.hpp
@@ -6,10 +6,21 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <memory>
 
 namespace auburntrestle::fleet {
 
+/** Bytes per second at which a large message reaches a peer at the least. */
+inline constexpr std::size_t kMinTransferRate = std::size_t{ 8 } * 1024 * 1024;
+
+/** @return the maximum time that bytes take to a peer. */
+[[nodiscard]] inline Duration TransferTime(std::size_t aBytes)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    static_cast<double>(aBytes) / static_cast<double>(kMinTransferRate)));
+}
+
 /** Starts the transport between an instance and its peers. */
 [[nodiscard]] tl::expected<std::unique_ptr<protocol::PeerTransport>, StartError>
 StartPeerTransport(const InstanceOptions& aOptions,
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -100,7 +100,16 @@
   ItemView view;
   const auto index = job->m_itemIndex.find(aQuery.m_item);
   if (index != job->m_itemIndex.end()) {
-    view.m_body = job->m_spec->m_items[index->second].m_body;
+    auto item = m_replica.GetState().Load(job->m_spec->m_items[index->second]);
+    if (!item) {
+      LogLine(LogLevel::Error, "item_body_unreadable")
+        .Add("job", aQuery.m_job)
+        .Add("item", aQuery.m_item)
+        .Add("file", item.error().m_file)
+        .Add("error", item.error().m_systemError);
+      return std::nullopt;
+    }
+    view.m_body = std::move(item->m_body);
   }
   return ReplyBody(std::move(view));
 }
@@ -162,38 +171,38 @@
   const Query& aQuery,
   std::function<void(std::optional<ReplyBody>)> aCallback)
 {
-  m_replica.ConfirmRead([this, aQuery, callback = std::move(aCallback)](
-                          bool aConfirmed) {
-    if (!aConfirmed) {
-      callback(std::nullopt);
-      return;
-    }
-    const State& state = m_replica.GetState();
-    std::visit(Overloaded{ [&](const ReadJob& aRead) {
-                            ReadJob read = aRead;
-                            read.m_wait = Duration::zero();
-                            const auto now = TryRead(read);
-                            callback(now ? *now : ReplyBody(JobView{}));
-                          },
-                           [&](const ReadItem& aRead) {
-                             const auto now = TryRead(aRead);
-                             callback(now ? *now : ReplyBody(ItemView{}));
-                           },
-                           [&](const ReadConfiguration&) {
-                             callback(ReplyBody(state.Configuration()));
-                           },
-                           [&](const ReadRetirement& aRead) {
-                             callback(ReplyBody(RetirementView{ RetirementOf(
-                               aRead.m_machine, m_replica.Status(), state) }));
-                           },
-                           [&](const Watch& aWatch) {
-                             callback(ReplyBody(MakeDirectoryView(aWatch)));
-                           },
-                           [&](const RequestPermit& aRequest) {
-                             callback(TryRead(aRequest));
-                           } },
-               aQuery);
-  });
+  m_replica.ConfirmRead(
+    [this, aQuery, callback = std::move(aCallback)](bool aConfirmed) {
+      if (!aConfirmed) {
+        callback(std::nullopt);
+        return;
+      }
+      const State& state = m_replica.GetState();
+      std::visit(
+        Overloaded{
+          [&](const ReadJob& aRead) {
+            ReadJob read = aRead;
+            read.m_wait = Duration::zero();
+            const bool exists = state.FindJob(read.m_job);
+            callback(exists ? TryRead(read) : ReplyBody(JobView{}));
+          },
+          [&](const ReadItem& aRead) {
+            const bool exists = state.FindJob(aRead.m_job);
+            callback(exists ? TryRead(aRead) : ReplyBody(ItemView{}));
+          },
+          [&](const ReadConfiguration&) {
+            callback(ReplyBody(state.Configuration()));
+          },
+          [&](const ReadRetirement& aRead) {
+            callback(ReplyBody(RetirementView{
+              RetirementOf(aRead.m_machine, m_replica.Status(), state) }));
+          },
+          [&](const Watch& aWatch) {
+            callback(ReplyBody(MakeDirectoryView(aWatch)));
+          },
+          [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); } },
+        aQuery);
+    });
 }
 
 void QueryServer::Defer(const Query& aQuery,
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/replica.hpp"
 
 #include "auburntrestle/fleet/codec.hpp"
+#include "auburntrestle/fleet/peer_link.hpp"
 #include "auburntrestle/observe/log.hpp"
 #include "auburntrestle/protocol/consensus_codec.hpp"
 
@@ -47,6 +48,16 @@
   return (std::uint64_t{ device() } << kHalfBits) | device();
 }
 
+ProposeError ErrorOf(consensus::RejectionReason aReason)
+{
+  if (aReason == consensus::RejectionReason::TooLarge ||
+      aReason == consensus::RejectionReason::Overloaded) {
+    return ProposeError::NoRoom;
+  }
+  return consensus::IsNotRun(aReason) ? ProposeError::NotLeader
+                                      : ProposeError::OutcomeUnknown;
+}
+
 } // namespace
 
 Replica::Replica(event_loop::EventLoop& aLoop,
@@ -91,6 +102,7 @@
   options.m_heartbeatInterval = kHeartbeatInterval;
   options.m_electionTimeout = kElectionTimeout;
   options.m_resendTimeout = kResendAfter;
+  options.m_minTransferRate = kMinTransferRate;
   options.m_joinInterval = kJoinInterval;
   options.m_firstElectionTimeout = kFirstElectionTimeout;
   options.m_seed = RandomNumber();
@@ -99,6 +111,7 @@
   options.m_maxUncommittedBytes = 2 * kMaxCommandBytes;
   options.m_snapshotThresholdBytes = kSnapshotThresholdBytes;
   options.m_trailingEntries = kTrailingEntries;
+  options.m_trailingBytes = kSnapshotThresholdBytes;
   options.m_snapshotResendTimeout = kSnapshotResendTimeout;
   options.m_maxSnapshotTransfers = SnapshotSender::kMaxTransfers;
   options.m_autoPromote = false;
@@ -141,7 +154,7 @@
   return {};
 }
 
-void Replica::Propose(const Command& aCommand, ProposeCallback aCallback)
+void Replica::Propose(SharedBytes aCommand, ProposeCallback aCallback)
 {
   if (!m_isLeading) {
     aCallback(tl::make_unexpected(ProposeError::NotLeader));
@@ -149,7 +162,7 @@
   }
   const consensus::ProposalId id(m_nextId++);
   m_proposals.emplace(id, std::move(aCallback));
-  Push(consensus::Propose{ id, Encode(aCommand) });
+  Push(consensus::Propose{ id, std::move(aCommand) });
 }
 
 void Replica::ConfirmRead(std::function<void(bool)> aCallback)
@@ -388,9 +401,7 @@
   m_proposals.erase(found);
   LogLine(LogLevel::Info, "proposal_rejected")
     .Add("reason", consensus::ToString(aAction.m_reason));
-  callback(tl::make_unexpected(consensus::IsNotRun(aAction.m_reason)
-                                 ? ProposeError::NotLeader
-                                 : ProposeError::OutcomeUnknown));
+  callback(tl::make_unexpected(ErrorOf(aAction.m_reason)));
 }
 
 void Replica::On(const consensus::ReadConfirmed& aAction)
--- a/src/auburntrestle/fleet/replica.hpp
+++ b/src/auburntrestle/fleet/replica.hpp
@@ -62,6 +62,9 @@
 {
   /** Not run, because this instance is not the leader. */
   NotLeader,
+  /** Not run, because the command is too large or too many bytes are being
+   * replicated. */
+  NoRoom,
   /** The command may or may not be applied later. */
   OutcomeUnknown,
 };
@@ -85,8 +88,9 @@
   Replica(const Replica&) = delete;
   Replica& operator=(const Replica&) = delete;
 
-  /** Proposes a command. Fails with NotLeader unless this instance leads. */
-  void Propose(const Command& aCommand, ProposeCallback aCallback);
+  /** Proposes an encoded command. Fails with NotLeader unless this instance
+   * leads. */
+  void Propose(SharedBytes aCommand, ProposeCallback aCallback);
   /** Calls back with whether the state contains every command that was
    * acknowledged before this call. */
   void ConfirmRead(std::function<void(bool)> aCallback);
--- a/src/auburntrestle/fleet/reward_caller.cpp
+++ b/src/auburntrestle/fleet/reward_caller.cpp
@@ -222,16 +222,35 @@
     }
   }
   const auto* backend = ChooseBackend(*aCall, now);
-  if (backend == nullptr) {
+  const auto reward = backend == nullptr ? std::nullopt : Load(*aCall);
+  if (!reward) {
     return false;
   }
   m_queue.Remove(aCall->m_ticket);
-  StartAttempt(aCall, *route, *backend);
+  StartAttempt(aCall, *reward, *route, *backend);
   ScheduleHedge(aCall);
   return true;
 }
 
+std::optional<RewardCall> RewardCaller::Load(const PendingCall& aCall) const
+{
+  if (!aCall.Reward().m_storedBody) {
+    return aCall.Reward();
+  }
+  auto loaded = m_options.m_loadItem(aCall.Item());
+  if (!loaded) {
+    LogLine(LogLevel::Error, "item_body_unreadable")
+      .Add("job", aCall.m_task.m_job->m_id)
+      .Add("item", aCall.Item().m_id)
+      .Add("file", loaded.error().m_file)
+      .Add("error", loaded.error().m_systemError);
+    return std::nullopt;
+  }
+  return std::move(loaded->m_reward);
+}
+
 void RewardCaller::StartAttempt(const CallPtr& aCall,
+                                const RewardCall& aReward,
                                 const Route& aRoute,
                                 const BackendRecord& aBackend)
 {
@@ -251,18 +270,17 @@
     .Add("reward", aCall->Reward().m_id)
     .Add("backend", aBackend.m_id)
     .Add("attempt", aCall->m_attempts);
-  attempt->m_call =
-    m_client.Fetch(aBackend,
-                   m_protocol.m_rewardRequest(
-                     aCall->Reward(), aBackend.m_id, options.m_timeout),
-                   options,
-                   [this, aCall, attempt](const http::FetchResult& aResult) {
-                     std::erase(aCall->m_running, attempt);
-                     if (!aCall->m_closed) {
-                       HandleResult(aCall, attempt, aResult);
-                       Dispatch();
-                     }
-                   });
+  attempt->m_call = m_client.Fetch(
+    aBackend,
+    m_protocol.m_rewardRequest(aReward, aBackend.m_id, options.m_timeout),
+    options,
+    [this, aCall, attempt](const http::FetchResult& aResult) {
+      std::erase(aCall->m_running, attempt);
+      if (!aCall->m_closed) {
+        HandleResult(aCall, attempt, aResult);
+        Dispatch();
+      }
+    });
 }
 
 void RewardCaller::ScheduleHedge(const CallPtr& aCall)
@@ -286,11 +304,12 @@
     return;
   }
   const auto* backend = ChooseBackend(*aCall, MonotonicClock::Now());
-  if (backend == nullptr || !m_hedgeBudget.TryWithdraw()) {
+  const auto reward = backend == nullptr ? std::nullopt : Load(*aCall);
+  if (!reward || !m_hedgeBudget.TryWithdraw()) {
     return;
   }
   m_instruments.Count(observe::counters::kHedges, aCall->m_service->Get());
-  StartAttempt(aCall, *route, *backend);
+  StartAttempt(aCall, *reward, *route, *backend);
 }
 
 void RewardCaller::HandleResult(const CallPtr& aCall,
--- a/src/auburntrestle/fleet/reward_caller.hpp
+++ b/src/auburntrestle/fleet/reward_caller.hpp
@@ -56,6 +56,7 @@
    * rest is for callers. */
   double m_slotShare = 0.67;
   RewardPolicy m_policy;
+  ItemLoader m_loadItem;
 };
 
 /**
@@ -102,7 +103,11 @@
   [[nodiscard]] bool TryStart(const CallPtr& aCall);
   [[nodiscard]] const BackendRecord* ChooseBackend(const PendingCall& aCall,
                                                    TimePoint aNow) const;
+  /** @return the reward call with its body, or nothing if it can't be read. */
+  [[nodiscard]] std::optional<RewardCall> Load(const PendingCall& aCall) const;
+  /** @param aReward the call with its body. */
   void StartAttempt(const CallPtr& aCall,
+                    const RewardCall& aReward,
                     const Route& aRoute,
                     const BackendRecord& aBackend);
   void ScheduleHedge(const CallPtr& aCall);
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -8,6 +8,25 @@
 
 namespace auburntrestle::fleet {
 
+namespace {
+
+/** A larger body is kept in the output store. A smaller one is cheaper in
+ * memory than to read for each run of its item. */
+constexpr std::size_t kMaxInlineBodyBytes = 4096;
+
+bool IsLargeBody(const std::string& aBody)
+{
+  return aBody.size() > kMaxInlineBodyBytes;
+}
+
+bool HasLargeBody(const JobItem& aItem)
+{
+  return IsLargeBody(aItem.m_body) ||
+         (aItem.m_reward && IsLargeBody(aItem.m_reward->m_body));
+}
+
+} // namespace
+
 State::State(OutputStore& aOutputs)
   : m_outputs(&aOutputs)
 {
@@ -39,14 +58,53 @@
   return result;
 }
 
+tl::expected<JobItem, OutputStoreError> State::Load(const JobItem& aItem) const
+{
+  JobItem item = aItem;
+  const auto load = [this](std::string& aBody,
+                           std::optional<OutputReference>& aStored)
+    -> tl::expected<void, OutputStoreError> {
+    if (!aStored) {
+      return {};
+    }
+    auto bytes = m_outputs->Read(*aStored);
+    if (!bytes) {
+      return tl::make_unexpected(bytes.error());
+    }
+    aBody = std::move(*bytes);
+    aStored.reset();
+    return {};
+  };
+  auto loaded = load(item.m_body, item.m_storedBody);
+  if (loaded && item.m_reward) {
+    loaded = load(item.m_reward->m_body, item.m_reward->m_storedBody);
+  }
+  if (!loaded) {
+    return tl::make_unexpected(loaded.error());
+  }
+  return item;
+}
+
 std::map<OutputSegment, std::uint64_t> State::OutputSegments() const
 {
   std::map<OutputSegment, std::uint64_t> segments;
+  const auto add = [&segments](const OutputReference& aReference) {
+    if (aReference.m_bytes > 0) {
+      auto& end = segments[aReference.m_segment];
+      end = std::max(end, aReference.m_offset + aReference.m_bytes);
+    }
+  };
   for (const auto& [id, job] : m_jobs) {
     for (const auto& result : job.m_results) {
-      if (result.m_output.m_bytes > 0) {
-        auto& end = segments[result.m_output.m_segment];
-        end = std::max(end, result.m_output.m_offset + result.m_output.m_bytes);
+      add(result.m_output);
+    }
+    if (!job.m_spec) {
+      continue;
+    }
+    for (const auto& item : job.m_spec->m_items) {
+      add(item.m_storedBody.value_or(OutputReference{}));
+      if (item.m_reward) {
+        add(item.m_reward->m_storedBody.value_or(OutputReference{}));
       }
     }
   }
@@ -205,12 +263,67 @@
   aJob.m_progress = {};
 }
 
-CommandResult State::On(const AcceptJob& aCommand)
+tl::expected<void, OutputStoreError> State::StoreBody(
+  std::string& aBody,
+  std::optional<OutputReference>& aStored)
+{
+  if (!IsLargeBody(aBody)) {
+    return {};
+  }
+  const auto reference = m_outputs->Append(aBody);
+  if (!reference) {
+    return tl::make_unexpected(reference.error());
+  }
+  aStored = *reference;
+  aBody = std::string();
+  return {};
+}
+
+tl::expected<JobItem, OutputStoreError> State::StoreBodies(const JobItem& aItem)
 {
-  if (!m_jobs.contains(aCommand.m_spec.m_id)) {
-    AddJob(std::make_shared<const JobSpec>(aCommand.m_spec),
-           aCommand.m_acceptedAt);
+  JobItem item = aItem;
+  auto stored = StoreBody(item.m_body, item.m_storedBody);
+  if (stored && item.m_reward) {
+    stored = StoreBody(item.m_reward->m_body, item.m_reward->m_storedBody);
+  }
+  if (!stored) {
+    return tl::make_unexpected(stored.error());
+  }
+  return item;
+}
+
+tl::expected<CommandResult, OutputStoreError> State::On(
+  const AcceptJob& aCommand)
+{
+  const JobSpec& given = aCommand.m_spec;
+  if (m_jobs.contains(given.m_id)) {
+    return CommandResult::Done;
+  }
+  // Bodies are needed until the job ends, outputs for longer.
+  const bool storesBodies =
+    std::any_of(given.m_items.begin(), given.m_items.end(), HasLargeBody);
+  if (storesBodies) {
+    m_outputs->EndSegment();
+  }
+  auto spec = std::make_shared<JobSpec>();
+  spec->m_id = given.m_id;
+  spec->m_host = given.m_host;
+  spec->m_path = given.m_path;
+  spec->m_model = given.m_model;
+  spec->m_minVersion = given.m_minVersion;
+  spec->m_targetGroups = given.m_targetGroups;
+  spec->m_items.reserve(given.m_items.size());
+  for (const auto& item : given.m_items) {
+    auto stored = StoreBodies(item);
+    if (!stored) {
+      return tl::make_unexpected(stored.error());
+    }
+    spec->m_items.push_back(std::move(*stored));
+  }
+  if (storesBodies) {
+    m_outputs->EndSegment();
   }
+  AddJob(std::move(spec), aCommand.m_acceptedAt);
   return CommandResult::Done;
 }
 
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -46,6 +46,9 @@
   /** @return a result together with its output. */
   [[nodiscard]] tl::expected<ItemResult, OutputStoreError> Load(
     const StoredResult& aResult) const;
+  /** @return an item together with its stored bodies. */
+  [[nodiscard]] tl::expected<JobItem, OutputStoreError> Load(
+    const JobItem& aItem) const;
   /** @return the output segments in use, each with the offset up to which it is
    * in use. */
   [[nodiscard]] std::map<OutputSegment, std::uint64_t> OutputSegments() const;
@@ -93,7 +96,8 @@
   [[nodiscard]] bool IsChange(const BackendRecord& aRecord) const;
   [[nodiscard]] bool IsChange(const AnnounceMember& aMember) const;
 
-  /** @return the state without the outputs, as MessagePack. */
+  /** @return the state without the contents of the output store, as
+   * MessagePack. */
   [[nodiscard]] std::string Snapshot() const;
   /** @param aBytes a snapshot; empty for the initial state. */
   [[nodiscard]] static protocol::Expected<State> Restore(
@@ -111,7 +115,7 @@
   CommandResult On(const PublishWeights& aCommand);
   CommandResult On(const AnnounceMember& aCommand);
   CommandResult On(const RetireMember& aCommand);
-  CommandResult On(const AcceptJob& aCommand);
+  tl::expected<CommandResult, OutputStoreError> On(const AcceptJob& aCommand);
   tl::expected<CommandResult, OutputStoreError> On(
     const RecordResults& aCommand);
   CommandResult On(const EndJob& aCommand);
@@ -119,6 +123,13 @@
   CommandResult On(const RecordProgress& aCommand);
   CommandResult On(const RecordOrder& aCommand);
   Job& AddJob(std::shared_ptr<const JobSpec> aSpec, WallTime aAcceptedAt);
+  /** @return a copy of an item whose large bodies are in the output store. */
+  [[nodiscard]] tl::expected<JobItem, OutputStoreError> StoreBodies(
+    const JobItem& aItem);
+  /** Moves a body to the output store if it is large. */
+  [[nodiscard]] tl::expected<void, OutputStoreError> StoreBody(
+    std::string& aBody,
+    std::optional<OutputReference>& aStored);
   /** Adds a result unless the item has one.
    * @param aIsRecorded whether its output is the recorded progress. */
   [[nodiscard]] tl::expected<void, OutputStoreError>
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -114,8 +114,12 @@
         });
     },
     *m_options.m_instruments);
+  const auto loadItem = [this](const JobItem& aItem) {
+    return m_replica->GetState().Load(aItem);
+  };
   RewardCallerOptions rewards;
   rewards.m_home = m_options.m_dataCentre;
+  rewards.m_loadItem = loadItem;
   m_rewards = std::make_unique<RewardCaller>(m_loop,
                                              *m_client,
                                              m_protocol,
@@ -135,6 +139,7 @@
                        callback(aResult.has_value());
                      });
     },
+    loadItem,
     *m_options.m_instruments,
     std::random_device()());
   m_engines->SetChangeCallback([this] { m_runner->Dispatch(); });
@@ -183,9 +188,10 @@
                              protocol::Method aMethod,
                              std::string aPayload,
                              const protocol::Reply& aReply) {
-    m_loop.Post([this, aMethod, payload = std::move(aPayload), aReply] {
-      HandleCall(aMethod, payload, aReply);
-    });
+    m_loop.Post(
+      [this, aMethod, payload = std::move(aPayload), aReply]() mutable {
+        HandleCall(aMethod, std::move(payload), aReply);
+      });
   };
   return handlers;
 }
@@ -262,43 +268,61 @@
   return named != m_options.m_self ? named : std::nullopt;
 }
 
+void StoreService::RefuseCall(const protocol::Reply& aReply) const
+{
+  const auto leader = KnownLeader();
+  aReply.Refuse(leader ? leader->Get() : std::string());
+}
+
+void StoreService::HandlePropose(std::string aPayload,
+                                 const protocol::Reply& aReply)
+{
+  bool isJob = false;
+  {
+    // Decoded in a scope of its own: a job can be large.
+    const auto command = DecodeCommand(aPayload);
+    if (!command) {
+      LogLine(LogLevel::Warning, "command_unreadable")
+        .Add("bytes", aPayload.size());
+      aReply.Fail("unreadable");
+      return;
+    }
+    if (IsRepeatedAnnouncement(*command)) {
+      aReply.Send(Encode(ReplyBody(CommandReply{ CommandResult::Done })));
+      return;
+    }
+    isJob = std::holds_alternative<AcceptJob>(*command);
+  }
+  ProposeEncoded(
+    std::move(aPayload),
+    isJob,
+    [this, aReply](const tl::expected<CommandResult, LinkError>& aResult) {
+      if (aResult) {
+        aReply.Send(Encode(ReplyBody(CommandReply{ *aResult })));
+      } else if (aResult.error() == LinkError::NotRun) {
+        RefuseCall(aReply);
+      } else {
+        aReply.Fail("leadership lost");
+      }
+    });
+}
+
 void StoreService::HandleCall(protocol::Method aMethod,
-                              const std::string& aPayload,
+                              std::string aPayload,
                               const protocol::Reply& aReply)
 {
   if (aMethod == kOutputChunkMethod) {
     HandleOutputChunk(aPayload, aReply);
     return;
   }
-  const auto refuse = [this, aReply] {
-    const auto leader = KnownLeader();
-    aReply.Refuse(leader ? leader->Get() : std::string());
-  };
   if (!m_replica->IsLeading()) {
     if (aMethod != kQueryMethod || !TryRelay(aPayload, aReply)) {
-      refuse();
+      RefuseCall(aReply);
     }
     return;
   }
   if (aMethod == kProposeMethod) {
-    const auto command = DecodeCommand(aPayload);
-    if (!command) {
-      LogLine(LogLevel::Warning, "command_unreadable")
-        .Add("bytes", aPayload.size());
-      aReply.Fail("unreadable");
-      return;
-    }
-    ProposeLocally(
-      *command,
-      [aReply, refuse](const tl::expected<CommandResult, LinkError>& aResult) {
-        if (aResult) {
-          aReply.Send(Encode(ReplyBody(CommandReply{ *aResult })));
-        } else if (aResult.error() == LinkError::NotRun) {
-          refuse();
-        } else {
-          aReply.Fail("leadership lost");
-        }
-      });
+    HandlePropose(std::move(aPayload), aReply);
     return;
   }
   const auto query = DecodeQuery(aPayload);
@@ -309,11 +333,11 @@
     return;
   }
   m_queries->Handle(*query,
-                    [aReply, refuse](const std::optional<ReplyBody>& aBody) {
+                    [this, aReply](const std::optional<ReplyBody>& aBody) {
                       if (aBody) {
                         aReply.Send(Encode(*aBody));
                       } else {
-                        refuse();
+                        RefuseCall(aReply);
                       }
                     });
 }
@@ -380,11 +404,33 @@
     aCallback(CommandResult::Done);
     return;
   }
+  ProposeEncoded(Encode(aCommand),
+                 std::holds_alternative<AcceptJob>(aCommand),
+                 std::move(aCallback));
+}
+
+void StoreService::ProposeEncoded(
+  SharedBytes aCommand,
+  bool aIsJob,
+  std::function<void(tl::expected<CommandResult, LinkError>)> aCallback)
+{
+  const std::size_t jobBytes = aIsJob ? aCommand.size() : 0;
+  const std::size_t limit = m_options.m_requestLimits.m_replicatedJobBytes;
+  if (aIsJob && m_replicatedJobBytes + jobBytes > limit) {
+    LogLine(LogLevel::Warning, "job_without_room")
+      .Add("bytes", jobBytes)
+      .Add("replicated", m_replicatedJobBytes)
+      .Add("limit", limit);
+    aCallback(CommandResult::NoRoom);
+    return;
+  }
+  m_replicatedJobBytes += jobBytes;
   const TimePoint started = MonotonicClock::Now();
   m_replica->Propose(
-    aCommand,
-    [this, started, callback = std::move(aCallback)](
+    std::move(aCommand),
+    [this, started, aIsJob, jobBytes, callback = std::move(aCallback)](
       tl::expected<CommandResult, ProposeError> aResult) {
+      m_replicatedJobBytes -= jobBytes;
       m_options.m_instruments->Count(observe::counters::kProposals,
                                      aResult ? "applied" : "failed");
       m_options.m_instruments->ObserveDuration(observe::histograms::kCommitTime,
@@ -392,10 +438,13 @@
                                                MonotonicClock::Now() - started);
       if (aResult) {
         callback(*aResult);
+      } else if (aIsJob && aResult.error() == ProposeError::NoRoom) {
+        callback(CommandResult::NoRoom);
       } else {
-        callback(tl::make_unexpected(aResult.error() == ProposeError::NotLeader
-                                       ? LinkError::NotRun
-                                       : LinkError::OutcomeUnknown));
+        callback(
+          tl::make_unexpected(aResult.error() == ProposeError::OutcomeUnknown
+                                ? LinkError::OutcomeUnknown
+                                : LinkError::NotRun));
       }
     });
 }
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -120,9 +120,18 @@
   void ProposeLocally(
     const Command& aCommand,
     std::function<void(tl::expected<CommandResult, LinkError>)> aCallback);
+  /** Proposes an encoded command. A job for which there is no room has the
+   * result NoRoom, so that nobody sends it again at once. */
+  void ProposeEncoded(
+    SharedBytes aCommand,
+    bool aIsJob,
+    std::function<void(tl::expected<CommandResult, LinkError>)> aCallback);
   void HandleCall(protocol::Method aMethod,
-                  const std::string& aPayload,
+                  std::string aPayload,
                   const protocol::Reply& aReply);
+  void HandlePropose(std::string aPayload, const protocol::Reply& aReply);
+  /** Refuses a call and names the leader. */
+  void RefuseCall(const protocol::Reply& aReply) const;
   void SendOutputChunk(
     const InstanceId& aTo,
     const OutputChunk& aChunk,
@@ -167,6 +176,8 @@
   DirectoryConfirmation m_confirmation;
   /** When the last record of an order to an engine was applied here. */
   std::optional<TimePoint> m_lastOrderAt;
+  /** Encoded bytes of the jobs that are being replicated. */
+  std::size_t m_replicatedJobBytes = 0;
   /** Destroyed first, because its thread calls into the other members. */
   std::unique_ptr<protocol::PeerTransport> m_transport;
 };
--- a/src/auburntrestle/fleet/store_service_control.cpp
+++ b/src/auburntrestle/fleet/store_service_control.cpp
@@ -28,6 +28,8 @@
       return ControlOutcome::TooFewRemain;
     case CommandResult::Conflict:
       return ControlOutcome::Invalid;
+    case CommandResult::NoRoom:
+      return ControlOutcome::Unavailable;
   }
   return ControlOutcome::Unavailable;
 }
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -149,7 +149,7 @@
       // A failed write is also reported by the pending read, which may still
       // receive a response that was sent early.
       if (!aError) {
-        self->m_output.clear();
+        self->m_output = std::string();
       }
     });
 }
--- a/src/auburntrestle/http/internal/parser.cpp
+++ b/src/auburntrestle/http/internal/parser.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/http/internal/parser.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace auburntrestle::http::internal {
@@ -10,6 +11,9 @@
 constexpr int kContinueParsing = 0;
 constexpr int kSkipBody = 1;
 constexpr int kFirstFinalStatus = 200;
+/** The library's content length of a message without one. */
+constexpr std::uint64_t kNoContentLength =
+  std::numeric_limits<std::uint64_t>::max();
 
 } // namespace
 
@@ -49,6 +53,9 @@
         self.FinishField();
         self.m_progress = Progress::Body;
         self.m_keepAlive = http_should_keep_alive(aParser) != 0;
+        if (aParser->content_length != kNoContentLength) {
+          self.m_contentLength = aParser->content_length;
+        }
       }
       return self.m_noBody ? kSkipBody : kContinueParsing;
     };
@@ -95,6 +102,7 @@
   m_headerBytes = 0;
   m_keepAlive = false;
   m_noBody = false;
+  m_contentLength.reset();
 }
 
 void Parser::FinishField()
@@ -131,6 +139,11 @@
   }
 }
 
+std::optional<std::uint64_t> Parser::ContentLength() const noexcept
+{
+  return m_contentLength;
+}
+
 std::string Parser::Method() const
 {
   return http_method_str(static_cast<http_method>(m_parser.method));
--- a/src/auburntrestle/http/internal/parser.hpp
+++ b/src/auburntrestle/http/internal/parser.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,11 @@
   [[nodiscard]] Headers ExtractHeaders() { return std::move(m_headers); }
   [[nodiscard]] std::string ExtractBody() { return std::exchange(m_body, {}); }
   [[nodiscard]] std::size_t BodySize() const noexcept { return m_body.size(); }
+  /** @return the announced size of the body once the headers are complete, or
+   * nothing if it is sent in chunks or ends with the connection. */
+  [[nodiscard]] std::optional<std::uint64_t> ContentLength() const noexcept;
+  /** Allocates space for a body at once instead of growing it. */
+  void ReserveBody(std::size_t aBytes) { m_body.reserve(aBytes); }
   [[nodiscard]] std::size_t HeaderBytes() const noexcept
   {
     return m_headerBytes;
@@ -84,6 +90,7 @@
   std::size_t m_headerBytes = 0;
   bool m_keepAlive = false;
   bool m_noBody = false;
+  std::optional<std::uint64_t> m_contentLength;
 };
 
 } // namespace auburntrestle::http::internal
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace auburntrestle::http::internal {
@@ -11,6 +12,11 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
+constexpr int kStatusUnavailable = 503;
+/** Bodies up to this size are always received. */
+constexpr std::size_t kMaxSmallBodyBytes = std::size_t{ 64 } * 1024;
+/** Seconds after which a large request is worth sending again. */
+constexpr std::string_view kBodyRetryAfter = "0.5";
 /** Time for a client to read the last response of a connection. */
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
@@ -153,15 +159,38 @@
   }
 }
 
-std::optional<int> ServerConnection::CheckLimits() const
+std::optional<int> ServerConnection::CheckLimits()
 {
   if (m_parser.HeaderBytes() > m_state->m_limits.m_headerBytes) {
     return kStatusHeadersTooLarge;
   }
-  if (m_parser.BodySize() > m_state->m_limits.m_bodyBytes) {
+  const std::uint64_t body = std::max<std::uint64_t>(
+    m_parser.BodySize(), m_parser.ContentLength().value_or(0));
+  if (body > m_state->m_limits.m_bodyBytes) {
     return kStatusTooLarge;
   }
-  return std::nullopt;
+  return TryHoldBody(body) ? std::nullopt : std::optional(kStatusUnavailable);
+}
+
+bool ServerConnection::TryHoldBody(std::size_t aBytes)
+{
+  if (aBytes <= kMaxSmallBodyBytes || aBytes <= m_heldBodyBytes) {
+    return true;
+  }
+  const std::size_t further = aBytes - m_heldBodyBytes;
+  if (m_state->m_totalBodyBytes + further >
+      m_state->m_limits.m_totalBodyBytes) {
+    return false;
+  }
+  m_state->m_totalBodyBytes += further;
+  m_heldBodyBytes = aBytes;
+  m_parser.ReserveBody(m_parser.ContentLength().value_or(0));
+  return true;
+}
+
+void ServerConnection::ReleaseBody()
+{
+  m_state->m_totalBodyBytes -= std::exchange(m_heldBodyBytes, 0);
 }
 
 void ServerConnection::OnRequest()
@@ -187,8 +216,14 @@
 {
   m_keepAlive = false;
   m_input.clear();
+  m_parser.Reset();
+  ReleaseBody();
   m_lingering = true;
-  Write(Serialise(Response{ aStatus, {}, {} }, true), true);
+  Response response{ aStatus, {}, {} };
+  if (aStatus == kStatusUnavailable) {
+    response.m_headers.Add("Retry-After", std::string(kBodyRetryAfter));
+  }
+  Write(Serialise(response, true), true);
 }
 
 void ServerConnection::Respond(const Response& aResponse)
@@ -199,6 +234,7 @@
   const bool close = !m_keepAlive || m_state->m_draining;
   m_exchange.reset();
   --m_state->m_activeExchanges;
+  ReleaseBody();
   Write(Serialise(aResponse, close), close);
 }
 
@@ -220,7 +256,7 @@
   if (m_closed) {
     return;
   }
-  m_output.clear();
+  m_output = std::string();
   if (aError) {
     Close();
     return;
@@ -288,6 +324,7 @@
     return;
   }
   m_closed = true;
+  ReleaseBody();
   if (m_timer) {
     m_state->m_loop.Cancel(*std::exchange(m_timer, std::nullopt));
   }
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -29,6 +29,8 @@
   ServerLimits m_limits;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
   std::size_t m_activeExchanges = 0;
+  /** Bytes of large bodies that are received or processed. */
+  std::size_t m_totalBodyBytes = 0;
   bool m_draining = false;
 };
 
@@ -56,7 +58,11 @@
   void ProcessInput();
   void OnRequest();
   /** @return the status to respond with when a limit is exceeded. */
-  [[nodiscard]] std::optional<int> CheckLimits() const;
+  [[nodiscard]] std::optional<int> CheckLimits();
+  /** Counts a body if it is large. @return whether there is room for it. */
+  [[nodiscard]] bool TryHoldBody(std::size_t aBytes);
+  /** Stops counting the body of a request that was answered. */
+  void ReleaseBody();
   void RefuseAndClose(int aStatus);
   void Write(std::string aBytes, bool aClose);
   void OnWritten(const asio::error_code& aError, bool aClose);
@@ -74,6 +80,8 @@
   std::shared_ptr<Exchange> m_exchange;
   std::optional<timer::TimerId> m_timer;
   std::string m_output;
+  /** Bytes of the current request's body that ServerState counts. */
+  std::size_t m_heldBodyBytes = 0;
   bool m_reading = false;
   bool m_inRequest = false;
   bool m_bodyStarted = false;
--- a/src/auburntrestle/http/server.hpp
+++ b/src/auburntrestle/http/server.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,10 @@
   std::size_t m_headerBytes = std::size_t{ 16 } * 1024;
   /** Largest body, in bytes. */
   std::size_t m_bodyBytes = std::size_t{ 32 } * 1024 * 1024;
+  /** Maximum bytes of all large bodies that are received or whose requests have
+   * no response yet. A large request beyond it is refused with 503 before its
+   * body is received. */
+  std::size_t m_totalBodyBytes = std::numeric_limits<std::size_t>::max();
   /** Time from the first byte of a request to the end of its header fields. */
   Duration m_headerTimeout = std::chrono::seconds(3);
   /** Time for the body of a request; a slower client is disconnected. */
--- a/src/auburntrestle/protocol/codec.cpp
+++ b/src/auburntrestle/protocol/codec.cpp
@@ -18,6 +18,13 @@
 constexpr std::string_view kWelcomeLabel = "welcome";
 constexpr std::string_view kSessionLabel = "session";
 constexpr std::size_t kLengthBytes = 4;
+/** Space for the fields of a frame besides its payload, with the tag. */
+constexpr std::size_t kFieldBytes = 128;
+/** A larger buffer of received bytes is released after its frame. */
+constexpr std::size_t kMaxRetainedBuffer = std::size_t{ 256 } * 1024;
+/** Space for the start of the next frame, which may arrive with the end of a
+ * large one. */
+constexpr std::size_t kReceiveSlack = std::size_t{ 64 } * 1024;
 
 struct Hello
 {
@@ -56,6 +63,19 @@
   return (aFromInitiator ? 'i' : 'a') + EncodeBigEndian(aSequence, 8);
 }
 
+/** @return the size of the payload of a frame. */
+std::size_t PayloadBytes(const Frame& aFrame)
+{
+  return std::visit(
+    [](const auto& aBody) -> std::size_t {
+      if constexpr (requires { aBody.m_payload; }) {
+        return aBody.m_payload.size();
+      }
+      return 0;
+    },
+    aFrame);
+}
+
 std::string BuildFrame(std::string_view aBody, std::string_view aTag)
 {
   std::string bytes = EncodeBigEndian(aBody.size(), kLengthBytes);
@@ -161,6 +181,8 @@
       break;
     }
     if (rest.size() < length + kFrameOverhead) {
+      m_buffer.reserve(position + length + kFrameOverhead +
+                       internal::kReceiveSlack);
       break;
     }
     result =
@@ -170,6 +192,10 @@
     position += length + kFrameOverhead;
   }
   m_buffer.erase(0, position);
+  if (position > 0 && m_buffer.capacity() > internal::kMaxRetainedBuffer &&
+      m_buffer.size() < internal::kMaxRetainedBuffer) {
+    m_buffer.shrink_to_fit();
+  }
   if (!result) {
     m_stage = Stage::Broken;
     m_buffer.clear();
@@ -265,7 +291,12 @@
 
 Expected<std::string> Codec::Encode(const Frame& aFrame)
 {
-  const std::string body = Pack(aFrame);
+  // Built in place, because a frame can be large.
+  Writer writer(std::string(internal::kLengthBytes, '\0'));
+  writer.Reserve(internal::PayloadBytes(aFrame) + internal::kFieldBytes);
+  writer.Write(aFrame);
+  std::string bytes = writer.ExtractBytes();
+  const auto body = std::string_view(bytes).substr(internal::kLengthBytes);
   if (body.size() > m_maxFrameBytes) {
     return Fail(ProtocolErrorCode::TooLarge,
                 "frame of " + std::to_string(body.size()) + " bytes");
@@ -273,7 +304,10 @@
   const std::string prefix =
     internal::DirectionAndSequence(m_initiator, m_sent);
   ++m_sent;
-  return internal::BuildFrame(body, m_session->Tag({ prefix, body }));
+  const auto tag = m_session->Tag({ prefix, body });
+  const auto length =
+    internal::EncodeBigEndian(body.size(), internal::kLengthBytes);
+  return std::move(bytes.replace(0, length.size(), length).append(tag));
 }
 
 bool Codec::IsEstablished() const noexcept
--- a/src/auburntrestle/protocol/consensus_codec.cpp
+++ b/src/auburntrestle/protocol/consensus_codec.cpp
@@ -153,7 +153,18 @@
 
 std::string EncodeConsensus(const consensus::Message& aMessage)
 {
-  return Pack(aMessage);
+  constexpr std::size_t kFieldBytes = 512;
+  Writer writer;
+  if (const auto* append =
+        std::get_if<consensus::AppendRequest>(&aMessage.m_body)) {
+    std::size_t bytes = kFieldBytes;
+    for (const auto& entry : append->m_entries) {
+      bytes += consensus::SizeOf(entry);
+    }
+    writer.Reserve(bytes);
+  }
+  writer.Write(aMessage);
+  return writer.ExtractBytes();
 }
 
 Expected<consensus::Message> DecodeConsensus(std::string_view aBytes)
--- a/src/auburntrestle/protocol/pack.hpp
+++ b/src/auburntrestle/protocol/pack.hpp
@@ -100,6 +100,13 @@
 class Writer
 {
 public:
+  Writer() = default;
+  /** @param aPrefix bytes before the written ones. */
+  explicit Writer(std::string aPrefix)
+    : m_bytes(std::move(aPrefix))
+  {
+  }
+
   /** Writes the values as one array; called by Fields functions. */
   template<typename... Values>
   void operator()(const Values&... aValues)
@@ -112,6 +119,10 @@
   template<typename Type>
   void Write(const Type& aValue);
 
+  /** Allocates space for further bytes at once, because growing a large buffer
+   * needs memory for two of them. */
+  void Reserve(std::size_t aBytes) { m_bytes.reserve(m_bytes.size() + aBytes); }
+
   /** Moves the bytes written so far out of the writer. */
   [[nodiscard]] std::string ExtractBytes() { return std::move(m_bytes); }
 
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -31,6 +31,8 @@
 [limits]
 response_mb = 8
 received_mb = 24
+request_bodies_mb = 16
+replicated_jobs_mb = 12
 )";
 
 TEST(FleetSettingsTest, ReadsAllKeysOfAStore)
@@ -87,6 +89,12 @@
     FaultCase{ "\"debug\"", "\"loud\"", "logging.level" },
     FaultCase{ "response_mb = 8", "response_mb = 0", "limits.response_mb" },
     FaultCase{ "received_mb = 24", "received_mb = 7", "limits.received_mb" },
+    FaultCase{ "request_bodies_mb = 16",
+               "request_bodies_mb = 0",
+               "limits.request_bodies_mb" },
+    FaultCase{ "replicated_jobs_mb = 12",
+               "replicated_jobs_mb = \"12\"",
+               "limits.replicated_jobs_mb" },
     FaultCase{ "[listen]", "[listen", "" }));
 
 TEST(FleetSettingsTest, ReportsAllFaultsAtOnce)
@@ -140,6 +148,10 @@
     ChangeCase{ "\"/data\"", "\"/other\"", "", "log.data_folder" },
     ChangeCase{ "losses = 2", "losses = 1", "", "log.tolerated_losses" },
     ChangeCase{ "received_mb = 24", "received_mb = 32", "", "limits" },
+    ChangeCase{ "request_bodies_mb = 16",
+                "request_bodies_mb = 17",
+                "",
+                "limits" },
     ChangeCase{ "store-1", "store-2", "", "instance.machine" }));
 
 } // namespace
--- a/test/auburntrestle/fleet/memory_limits_test.cpp
+++ b/test/auburntrestle/fleet/memory_limits_test.cpp
@@ -31,6 +31,19 @@
     MemoryCase{ 160 * kMebibyte, { 10 * kMebibyte, 32 * kMebibyte } },
     MemoryCase{ 65536 * kMebibyte, { 32 * kMebibyte, 256 * kMebibyte } }));
 
+// Guards against jobs that are held several times on a small machine, and
+// against a small machine that refuses all of them.
+TEST(RequestLimitsTest, FollowTheMemory)
+{
+  EXPECT_EQ(RequestLimitsFor(0),
+            (RequestLimits{ 8 * kMebibyte, 8 * kMebibyte }));
+  EXPECT_EQ(RequestLimitsFor(100 * kMebibyte).m_bodyBytes, 30 * kMebibyte);
+  EXPECT_EQ(RequestLimitsFor(200 * kMebibyte).m_replicatedJobBytes,
+            33 * kMebibyte);
+  EXPECT_EQ(RequestLimitsFor(65536 * kMebibyte),
+            (RequestLimits{ 64 * kMebibyte, 64 * kMebibyte }));
+}
+
 TEST(MachineMemoryTest, IsKnown)
 {
   EXPECT_GT(MachineMemory(), kMebibyte);
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -317,6 +317,54 @@
   EXPECT_EQ(m_state.FindJob(JobId("open"))->m_results.size(), 1U);
 }
 
+// Guards against bodies of jobs that fill the memory of all members, in the
+// state and in each snapshot, until the job ends.
+TEST_F(StateTest, LargeBodiesAreInFilesUntilTheirJobEnds)
+{
+  const std::string large(std::size_t{ 1024 } * 1024, 'x');
+  fleet::AcceptJob command;
+  command.m_spec.m_id = JobId("job");
+  for (const char* id : { "item0", "item1" }) {
+    JobItem item;
+    item.m_id = ItemId(id);
+    item.m_body = large + id;
+    item.m_reward = RewardCall{ RewardId(id), "host", "/path", id + large };
+    command.m_spec.m_items.push_back(item);
+  }
+  Apply(command);
+  ASSERT_TRUE(m_outputs->Sync());
+  EXPECT_LT(m_state.Snapshot().size(), 1024U);
+  const auto bodies = m_state.OutputSegments();
+  EXPECT_FALSE(bodies.empty());
+
+  m_state = *State::Restore(m_state.Snapshot(), *m_outputs);
+  EXPECT_EQ(m_state.OutputSegments(), bodies);
+  const auto& items = m_state.FindJob(JobId("job"))->m_spec->m_items;
+  EXPECT_TRUE(items.at(1).HasStoredBody());
+  const auto item = m_state.Load(items.at(1));
+  ASSERT_TRUE(item);
+  EXPECT_EQ(item->m_body, large + "item1");
+  EXPECT_EQ(item->m_reward->m_body, "item1" + large);
+
+  // The output stays readable after the job has ended; the bodies do not.
+  Apply(RecordResults{ { { JobId("job"), { Result(0, "zero") } } } });
+  Apply(EndJob{ JobId("job") });
+  const auto outputs = m_state.OutputSegments();
+  EXPECT_EQ(outputs.size(), 1U);
+  EXPECT_FALSE(bodies.contains(outputs.begin()->first));
+  EXPECT_EQ(OutputAt("job", 0), "zero");
+}
+
+// Guards against an item whose small body is read from a file for each run.
+TEST_F(StateTest, SmallBodiesStayInMemory)
+{
+  AcceptJob("job", 1);
+  const auto& item = m_state.FindJob(JobId("job"))->m_spec->m_items.at(0);
+  EXPECT_FALSE(item.HasStoredBody());
+  EXPECT_EQ(m_state.Load(item)->m_body, "body");
+  EXPECT_TRUE(m_state.OutputSegments().empty());
+}
+
 // Guards against a log entry a second from an instance outside the log, whose
 // own state never shows that it is announced.
 TEST_F(StateTest, ARepeatedAnnouncementOfAMemberIsNoChange)
--- a/test/auburntrestle/http/server_test.cpp
+++ b/test/auburntrestle/http/server_test.cpp
@@ -121,6 +121,86 @@
                  true }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+struct BodyCase
+{
+  std::string m_name;
+  /** The framing field of the second request. */
+  std::string m_field;
+  std::string m_body;
+  std::string m_status;
+};
+
+class TotalBodyTest
+  : public ServerTest
+  , public testing::WithParamInterface<BodyCase>
+{
+protected:
+  static constexpr std::size_t kLarge = std::size_t{ 100 } * 1024;
+};
+
+// Guards against several large requests at a time that fill the memory, though
+// each is within the limit of one.
+TEST_P(TotalBodyTest, RefusesALargeRequestWhileThereIsNoRoom)
+{
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  Listen([&](const std::shared_ptr<Exchange>& aExchange) {
+    exchanges.push_back(aExchange);
+  });
+  ServerLimits limits;
+  limits.m_totalBodyBytes = kLarge + kLarge / 2;
+  m_server->SetLimits(limits);
+  const auto first = ConnectTo(m_loop, m_server->Port());
+  first->Send("POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(kLarge) +
+              "\r\n\r\n" + std::string(kLarge, 'x'));
+  RunUntil(m_loop, [&] { return exchanges.size() == 1; });
+
+  const auto second = ConnectTo(m_loop, m_server->Port());
+  second->Send("POST /b HTTP/1.1\r\n" + GetParam().m_field + "\r\n\r\n" +
+               GetParam().m_body);
+  RunUntil(m_loop, [&] {
+    if (exchanges.size() == 2) {
+      exchanges.back()->Respond(Response{});
+    }
+    return !second->Received().empty();
+  });
+  EXPECT_NE(second->Received().find(GetParam().m_status), std::string::npos)
+    << second->Received();
+
+  // There is room again once the first request is answered.
+  exchanges.front()->Respond(Response{});
+  const auto third = ConnectTo(m_loop, m_server->Port());
+  third->Send("POST /c HTTP/1.1\r\nContent-Length: " + std::to_string(kLarge) +
+              "\r\n\r\n" + std::string(kLarge, 'x'));
+  RunUntil(m_loop, [&] {
+    return exchanges.back()->GetRequest().m_target == "/c" ||
+           !third->Received().empty();
+  });
+  EXPECT_EQ(third->Received(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Bodies,
+  TotalBodyTest,
+  testing::Values(BodyCase{ "announced", "Content-Length: 100000", "", "503" },
+                  BodyCase{ "chunks",
+                            "Transfer-Encoding: chunked",
+                            "18000\r\n" + std::string(0x18000, 'x') +
+                              "\r\n0\r\n\r\n",
+                            "503" },
+                  BodyCase{ "small", "Content-Length: 3", "xyz", "200 OK" },
+                  BodyCase{ "none", "Name: value", "", "200 OK" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against a refusal of the body limit that comes only after the body.
+TEST_F(ServerTest, ATooLargeBodyIsRefusedBeforeItArrives)
+{
+  ListenWithEcho();
+  const auto peer = ConnectTo(m_loop, m_server->Port());
+  peer->Send("POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n");
+  RunUntil(m_loop, [&] { return !peer->Received().empty(); });
+  EXPECT_NE(peer->Received().find("413"), std::string::npos);
+}
+
 TEST_F(ServerTest, ReportsAClientThatDisconnectsBeforeItsResponse)
 {
   bool disconnected = false;
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -185,6 +185,24 @@
   EXPECT_EQ(item.m_group, fleet::GroupId("g"));
 }
 
+// Guards against items that are lost or reordered while they are read one by
+// one, and against objects elsewhere in the document that are taken for items.
+TEST(JobSpecTest, ReadsItemsInOrder)
+{
+  const auto spec = ReadJobSpec(
+    R"({"other":[{"id":"x"}],"deep":{"requests":[{"id":"y"}]},
+        "requests":[
+          {"id":"a","path":"/p","body":"","headers":{"X":"1"}},
+          {"id":"b","path":"/p","body":"","extra":{"requests":[{}]}}],
+        "min_version":3})");
+  ASSERT_TRUE(spec);
+  ASSERT_EQ(spec->m_items.size(), 2U);
+  EXPECT_EQ(spec->m_items[0].m_id, fleet::ItemId("a"));
+  EXPECT_EQ(spec->m_items[0].m_headers.size(), 1U);
+  EXPECT_EQ(spec->m_items[1].m_id, fleet::ItemId("b"));
+  EXPECT_EQ(spec->m_minVersion, WeightVersion(3));
+}
+
 Json JobWithRewards()
 {
   Json items = Json::array();
@@ -273,6 +291,9 @@
                   "{}",
                   R"({"requests":{}})",
                   R"({"requests":[1]})",
+                  R"({"requests":[{"id":"i","path":"/p","body":""},1]})",
+                  R"({"requests":[{"id":"i","path":"/p","body":""}],)"
+                  R"("requests":[{"id":"j","path":"/p","body":""}]})",
                   R"({"requests":[{"id":"i","path":"/p"}]})",
                   R"({"requests":[{"id":"i","path":"/p","body":"%%%%"}]})",
                   R"({"requests":[{"id":1,"path":"/p","body":""}]})"));
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -97,6 +98,11 @@
   {
     return m_executed;
   }
+  /** @return the bodies of the requests that were run, by request id. */
+  [[nodiscard]] const std::map<std::string, std::string>& Bodies() const
+  {
+    return m_bodies;
+  }
   [[nodiscard]] const std::vector<Json>& Orders() const { return m_orders; }
   /** @return when requests of any kind arrived. */
   [[nodiscard]] const std::vector<TimePoint>& Arrivals() const
@@ -195,6 +201,7 @@
     const std::string id(
       aRequest.m_headers.Find(names::kRequestId).value_or(""));
     m_executed.push_back(id);
+    m_bodies[id] = aRequest.m_body;
     if (m_options.m_onRun) {
       m_options.m_onRun(id);
     }
@@ -225,6 +232,7 @@
   int m_version = 1;
   int m_sequence = 0;
   std::vector<std::string> m_executed;
+  std::map<std::string, std::string> m_bodies;
   std::vector<Json> m_orders;
   std::vector<TimePoint> m_arrivals;
   std::unique_ptr<http::Server> m_server;
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -326,6 +326,48 @@
   }
 }
 
+// Guards against a job within the limit of the manifest that takes more memory
+// than the machines of a small deployment have, so that their processes are
+// ended, and against bodies that are lost with a member of the log.
+TEST_F(WholePathTest, ALargeJobFitsIntoSmallMachines)
+{
+  constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
+  constexpr std::size_t kEntryMemory = 110 * kMebibyte;
+  constexpr std::size_t kStoreMemory = 140 * kMebibyte;
+  constexpr int kItems = 64;
+  constexpr std::size_t kTextBytes = 440000;
+  SetUpService();
+  auto manifest = Json::parse(Manifest(2));
+  manifest["limits"]["body_bytes"] = 32 * kMebibyte;
+  SendUntil(200, m_controls, "PUT", "/auburntrestle/config", manifest.dump());
+  Json job = Json::parse(MakeJob(kItems));
+  for (auto& item : job["requests"]) {
+    item["body"] = std::string(kTextBytes, 'q');
+  }
+  const std::string body(kTextBytes / 4 * 3, '\xaa');
+  for (const char* id : { "job-1", "job-2" }) {
+    SendUntil(202, { m_callers }, "POST", "/jobs/a", job.dump(), id);
+    EXPECT_EQ(ReadAllResults(id).size(), kItems);
+  }
+  EXPECT_TRUE(std::all_of(m_sampler.Bodies().begin(),
+                          m_sampler.Bodies().end(),
+                          [&](const auto& aItem) {
+                            return aItem.first == "request-0" ||
+                                   aItem.second == body;
+                          }));
+  for (const auto& [name, process] : m_processes) {
+    EXPECT_LT(process.PeakMemory(),
+              name == "entry" ? kEntryMemory : kStoreMemory)
+      << name;
+  }
+  m_processes.at("store0").Kill();
+  StartStore(0, false);
+  m_processes.at("store1").Kill();
+  const auto read =
+    SendUntil(200, { m_callers }, "GET", "/auburntrestle/items/job-2?id=item7");
+  EXPECT_TRUE(read.m_body == body);
+}
+
 // Guards against items that are completed without a score, and against a call
 // that always fails and keeps its item until the end of the job.
 TEST_F(WholePathTest, AnItemIsCompletedByItsScore)
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -109,6 +109,22 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  /** @return the most memory that the running program has used, in bytes. */
+  [[nodiscard]] std::size_t PeakMemory() const
+  {
+    const std::string key = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string word;
+    while (status >> word) {
+      if (word == key) {
+        std::size_t kilobytes = 0;
+        status >> kilobytes;
+        return kilobytes * 1024;
+      }
+    }
+    throw std::runtime_error("no memory of process " + std::to_string(m_pid));
+  }
+
   /** @return everything that the program has printed. */
   [[nodiscard]] std::string Output() const
   {
