Refuse numbers of a document that are out of range

Here no process ended, but one heartbeat with born or sequence near 2^64 took a backend server out of use for good, one with 2^32 - 1 slots became an engine without limit, and port 0 was accepted.

Cause: numbers were checked for their type and narrowed with a cast; times were converted without a limit, which is undefined for large ones.

--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -32,9 +32,12 @@
     std::int64_t milliseconds = 0;
     const auto result = std::from_chars(
       field->data(), field->data() + field->size(), milliseconds);
-    if (result.ec == std::errc() && milliseconds >= 0) {
-      limit =
-        std::min<Duration>(limit, std::chrono::milliseconds(milliseconds));
+    // Compared in milliseconds: a large number would overflow as a Duration.
+    const bool isShorter =
+      milliseconds <
+      std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    if (result.ec == std::errc() && milliseconds >= 0 && isShorter) {
+      limit = std::chrono::milliseconds(milliseconds);
     }
   }
   return limit;
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -326,7 +327,7 @@
     return m_pool->m_options.m_idleTimeout;
   }
   const auto digits = field->substr(at + kTimeout.size());
-  std::int64_t seconds = 0;
+  std::uint32_t seconds = std::numeric_limits<std::uint32_t>::max();
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
   const Duration announced = std::chrono::seconds(seconds);
   return std::min(std::max(announced - kMargin, announced / 2),
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -76,11 +76,73 @@
     ChangeCase{ "fractional_born",
                 [](Json& aDocument) { aDocument["born"] = 1.5; },
                 "born" },
+    ChangeCase{
+      "port_out_of_range",
+      [](Json& aDocument) { aDocument["address"] = "10.0.0.1:70000"; },
+      "address" },
+    ChangeCase{ "port_zero",
+                [](Json& aDocument) { aDocument["address"] = "10.0.0.1:0"; },
+                "address" },
+    ChangeCase{ "host_name",
+                [](Json& aDocument) { aDocument["address"] = "host:80"; },
+                "address" },
+    ChangeCase{ "too_many_slots",
+                [](Json& aDocument) { aDocument["slots"] = 4294967297; },
+                "slots" },
+    ChangeCase{ "negative_slots",
+                [](Json& aDocument) { aDocument["slots"] = -1; },
+                "slots" },
+    ChangeCase{ "sequence_too_large",
+                [](Json& aDocument) { aDocument["sequence"] = UINT64_MAX; },
+                "sequence" },
+    ChangeCase{ "born_too_large",
+                [](Json& aDocument) { aDocument["born"] = UINT64_MAX; },
+                "born" },
+    ChangeCase{ "born_far_in_the_future",
+                [](Json& aDocument) { aDocument["born"] = 9'000'000'000'000; },
+                "born" },
     ChangeCase{ "array",
                 [](Json& aDocument) { aDocument = Json::array(); },
                 "body" }),
   NameOf);
 
+/** @return a document of a million arrays within each other. */
+std::string DeepDocument(const std::string& aField)
+{
+  constexpr std::size_t kDepth = 1'000'000;
+  return "{\"" + aField + "\":" + std::string(kDepth, '[') +
+         std::string(kDepth, ']') + "}";
+}
+
+class OddDocumentTest : public testing::TestWithParam<std::string>
+{};
+
+// Guards against a document of another writer that ends the process which reads
+// it: very deep, with a number of any size, or cut short.
+TEST_P(OddDocumentTest, IsRefused)
+{
+  EXPECT_FALSE(ReadHeartbeat("i", GetParam()));
+  EXPECT_FALSE(ReadManifest(GetParam()));
+  EXPECT_FALSE(ReadJobSpec(GetParam()));
+  EXPECT_FALSE(ReadPublishedVersion(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Documents,
+  OddDocumentTest,
+  testing::Values(DeepDocument("service"),
+                  DeepDocument("requests"),
+                  DeepDocument("routes"),
+                  std::string(1'000'000, '['),
+                  std::string(1'000'000, '{'),
+                  R"({"slots":1e999})",
+                  R"({"slots":99999999999999999999999999999999999999})",
+                  R"({"version":-99999999999999999999999999999999999999})",
+                  R"({"service":"\ud800"})",
+                  std::string("{\"service\":\"\0\"}", 15),
+                  "null",
+                  "1e999"));
+
 Json ValidManifest()
 {
   return Json::parse(R"({"version":7,
@@ -153,6 +215,23 @@
                 "duplicate_route" }),
   NameOf);
 
+// Guards against times beyond what the types hold, which would turn negative.
+TEST(ManifestTest, LimitsTimes)
+{
+  Json document = ValidManifest();
+  for (const char* field :
+       { "timeout_ms", "latency_target_ms", "queue_ttl_s" }) {
+    document["routes"][0][field] = 1e300;
+  }
+  const auto table = ReadManifest(document.dump());
+  ASSERT_TRUE(table);
+  const auto& route = table->Configuration().m_routes[0];
+  constexpr auto kShortest = std::chrono::hours(1);
+  EXPECT_GT(route.m_timeout, kShortest);
+  EXPECT_GT(route.m_latencyObjective, kShortest);
+  EXPECT_GT(route.m_itemLifetime, kShortest);
+}
+
 TEST(ManifestTest, TranslatesAllFields)
 {
   const auto table = ReadManifest(ValidManifest().dump());
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -596,12 +596,26 @@
 TEST_F(WholePathTest, RefusesBadInput)
 {
   SetUpService();
+  constexpr std::size_t kDepth = 100'000;
+  auto future = Json::parse(m_sampler.Heartbeat("samplers", "draining"));
+  future["born"] = UINT64_MAX;
   const std::vector<BadCall> control{
     { "manifest cut short", "PUT", "/auburntrestle/config", "{\"vers", 400 },
     { "manifest of nothing", "PUT", "/auburntrestle/config", "{}", 400 },
     { "method", "PATCH", "/auburntrestle/config", "{}", 405 },
     { "heartbeat", "PUT", "/auburntrestle/instances/i-2", "{}", 400 },
     { "heartbeat bytes", "PUT", "/auburntrestle/instances/i-2", "\xff", 400 },
+    { "deep heartbeat",
+      "PUT",
+      "/auburntrestle/instances/i-2",
+      R"({"service":)" + std::string(kDepth, '[') + std::string(kDepth, ']') +
+        "}",
+      400 },
+    { "heartbeat of the far future",
+      "PUT",
+      "/auburntrestle/instances/i-1",
+      Json(future).dump(),
+      400 },
     { "version", "POST", "/auburntrestle/version-put", R"({"model":1})", 400 },
     { "machine", "POST", "/auburntrestle/retire/none", "{}", 404 },
     { "machine state", "GET", "/auburntrestle/retire/none", "", 404 },
@@ -627,6 +641,14 @@
     EXPECT_EQ(response->m_status, call.m_status);
   }
   SendUntil(200, { m_callers }, "POST", "/plain/x", "still here", "last");
+  // The entry of another writer did not displace the sampler's own.
+  m_sampler.Restart();
+  SendUntil(200,
+            m_controls,
+            "PUT",
+            "/auburntrestle/instances/i-1",
+            m_sampler.Heartbeat("samplers", "ready"));
+  SendUntil(200, { m_callers }, "POST", "/plain/x", "still here", "last-2");
 }
 
 // Guards against a signal that ends an instance, and against a change of the
