Do not take a response that breaks off in its head for a complete one

Cause: libcurl, which trestled uses, reports success if a connection closes after at least one whole line of a head; StatusOf took that for a complete response, with HTTP status 0. The client of trestle_node ends such a call as broken off.

Change: a transfer is complete only if its head was.

Evidence: BrokenResponseTest; after_status_line, in_field and after_field were CallStatus::Complete before.

--- a/src/auburntrestle/backend/http_client.cpp
+++ b/src/auburntrestle/backend/http_client.cpp
@@ -128,7 +128,9 @@
 
 CallStatus StatusOf(CURLcode aCode, const Transfer& aTransfer)
 {
-  if (aCode == CURLE_OK) {
+  // The library takes a connection that closes within the head of a response
+  // for the end of a complete one.
+  if (aCode == CURLE_OK && aTransfer.m_headersReported) {
     return CallStatus::Complete;
   }
   if (!aTransfer.IsWithinLimit()) {
--- a/test/auburntrestle/backend/http_client_test.cpp
+++ b/test/auburntrestle/backend/http_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -17,31 +18,25 @@
 using http::test::RawPeer;
 using http::test::RawServer;
 
-struct EndlessCase
-{
-  std::string m_name;
-  std::string m_start;
-  std::string m_repeated;
-};
-
-/** A server on a thread of its own that sends without end. */
-class EndlessServer
+/** A server on a thread of its own that sends raw bytes. */
+class ScriptedServer
 {
 public:
-  explicit EndlessServer(const EndlessCase& aCase)
-    : m_server(m_loop,
-               [&aCase, started = false](RawPeer& aPeer) mutable {
-                 if (!std::exchange(started, true)) {
-                   aPeer.Send(aCase.m_start);
-                   aPeer.SendForever(aCase.m_repeated);
-                 }
-               })
+  /** @param aScript called once, when a request arrives. */
+  explicit ScriptedServer(std::function<void(RawPeer&)> aScript)
+    : m_server(
+        m_loop,
+        [script = std::move(aScript), started = false](RawPeer& aPeer) mutable {
+          if (!std::exchange(started, true)) {
+            script(aPeer);
+          }
+        })
     , m_thread([this] { m_loop.Run(); })
   {
   }
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
-  ~EndlessServer()
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+  ~ScriptedServer()
   {
     m_loop.Post([this] { m_loop.Stop(); });
     m_thread.join();
@@ -58,6 +53,13 @@
   std::thread m_thread;
 };
 
+struct EndlessCase
+{
+  std::string m_name;
+  std::string m_start;
+  std::string m_repeated;
+};
+
 class EndlessResponseTest : public testing::TestWithParam<EndlessCase>
 {};
 
@@ -65,7 +67,10 @@
 // not be received until the time limit.
 TEST_P(EndlessResponseTest, IsCutOffAtItsLimit)
 {
-  const EndlessServer server(GetParam());
+  const ScriptedServer server([](RawPeer& aPeer) {
+    aPeer.Send(GetParam().m_start);
+    aPeer.SendForever(GetParam().m_repeated);
+  });
   const auto client = HttpClient::Create().value();
   std::promise<CallStatus> status;
   std::atomic<std::size_t> received = 0;
@@ -98,5 +103,58 @@
                  "5\r\nbytes\r\n" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+struct BrokenCase
+{
+  std::string m_name;
+  std::string m_bytes;
+  CallStatus m_status = CallStatus::LostMidResponse;
+};
+
+class BrokenResponseTest : public testing::TestWithParam<BrokenCase>
+{};
+
+// Guards against a response that breaks off in its head and counts as complete:
+// the caller would get a success with an empty body.
+TEST_P(BrokenResponseTest, IsNotComplete)
+{
+  const ScriptedServer server([](RawPeer& aPeer) {
+    aPeer.Send(GetParam().m_bytes);
+    aPeer.Close();
+  });
+  const auto client = HttpClient::Create().value();
+  std::promise<CallResult> result;
+  HttpCall call;
+  call.m_method = "GET";
+  call.m_url = server.Url();
+  call.m_newConnection = true;
+  std::ignore =
+    client->Start(call, { {}, {}, [&result](const CallResult& aResult) {
+                           result.set_value(aResult);
+                         } });
+  EXPECT_EQ(result.get_future().get().m_status, GetParam().m_status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  BrokenResponseTest,
+  testing::Values(
+    BrokenCase{ "nothing", "", CallStatus::LostBeforeResponse },
+    // The library reports no part of a line.
+    BrokenCase{ "in_status_line",
+                "HTTP/1.1 200",
+                CallStatus::LostBeforeResponse },
+    BrokenCase{ "after_status_line", "HTTP/1.1 200 OK\r\n" },
+    BrokenCase{ "in_field", "HTTP/1.1 200 OK\r\nContent-Le" },
+    BrokenCase{ "after_field", "HTTP/1.1 200 OK\r\nName: value\r\n" },
+    BrokenCase{ "after_interim", "HTTP/1.1 100 Continue\r\n\r\n" },
+    BrokenCase{ "in_body", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo" },
+    BrokenCase{ "complete",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                CallStatus::Complete },
+    BrokenCase{ "without_length",
+                "HTTP/1.1 200 OK\r\n\r\nbody",
+                CallStatus::Complete }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 } // namespace
 } // namespace auburntrestle::backend
