Show that an error after a broken stream leaves no trace in an output

Items are not affected: only a body with status 200 is read as events. The test plays a sampler whose streams all break off within an event, and another that answers the next attempt with an error which looks like the event that is due.

--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -31,6 +31,9 @@
   /** Decides on a request outside batch jobs: @return its status, 200 for a
    * proper response. Absent for 200. */
   std::function<int(const std::string&)> m_plainStatus;
+  /** Decides on an item of a batch job: @return its status, 200 for its events.
+   * Absent for 200. */
+  std::function<int(const std::string&)> m_itemStatus;
   std::function<void(const Json&)> m_onOrder;
   /** The rate limit that all responses state; absent for none. */
   std::optional<double> m_rateLimit;
@@ -213,6 +216,13 @@
       aResponse.m_body = PlainResponse(aRequest.m_body);
       return;
     }
+    aResponse.m_status =
+      m_options.m_itemStatus ? m_options.m_itemStatus(id) : 200;
+    if (aResponse.m_status != 200) {
+      // Looks like the event that is due.
+      aResponse.m_body = "id: 2\ndata: error\n\n";
+      return;
+    }
     aResponse.m_headers.Add("Content-Type", "text/event-stream");
     aResponse.m_headers.Add(names::kWeightVersion, std::to_string(m_version));
     const auto last = aRequest.m_headers.Find(names::kLastEvent);
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/http/client.hpp"
+#include "auburntrestle/http/raw_peer.hpp"
 #include "platform/instance_files.hpp"
 #include "platform/json_fields.hpp"
 #include "platform/names.hpp"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace auburntrestle::platform::test {
@@ -233,6 +235,9 @@
     options.m_plainStatus = [this](const std::string& aId) {
       return m_plainStatus ? m_plainStatus(aId) : 200;
     };
+    options.m_itemStatus = [this](const std::string& aId) {
+      return m_itemStatus ? m_itemStatus(aId) : 200;
+    };
     return options;
   }
 
@@ -252,6 +257,8 @@
   http::Client m_client{ m_loop, {} };
   /** Decides on the requests outside batch jobs. */
   std::function<int(const std::string&)> m_plainStatus;
+  /** Decides on the items of batch jobs. */
+  std::function<int(const std::string&)> m_itemStatus;
   Sampler m_sampler{ m_loop, "i-1", "m", MakeSamplerOptions() };
   PortSource m_ports;
   std::filesystem::path m_folder;
@@ -368,6 +375,61 @@
   EXPECT_TRUE(read.m_body == body);
 }
 
+/** Answers as a sampler whose streams all break off within the second event. */
+void AnswerAndBreakOff(http::test::RawPeer& aPeer)
+{
+  const std::string& received = aPeer.Received();
+  const std::string last = received.substr(received.rfind(" HTTP/1.1\r\n"));
+  const std::string field = std::string("\r\n") + names::kRequestId + ": ";
+  const auto at = last.find(field);
+  if (at == std::string::npos) {
+    const std::string report =
+      R"({"models":[{"name":"m","version":1}],"busy":false,"sequence":0})";
+    aPeer.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(report.size()) + "\r\n\r\n" + report);
+    return;
+  }
+  const auto start = at + field.size();
+  const auto id = last.substr(start, last.find("\r\n", start) - start);
+  const std::string events = "id: 1\ndata: " + id + "-1-v1\n\nid: 2\nda";
+  aPeer.Send("HTTP/1.1 200 OK" + field + id + "\r\n" + names::kWeightVersion +
+             ": 1\r\nContent-Type: text/event-stream\r\n"
+             "Content-Length: 1000\r\n\r\n" +
+             events);
+  aPeer.Close();
+}
+
+// Guards against the error of the next sampler within the output of an item
+// whose stream broke off, and against an output that ends there.
+TEST_F(WholePathTest, AnErrorAfterABrokenStreamLeavesNoTrace)
+{
+  constexpr int kItems = 12;
+  std::set<std::string> failed;
+  m_itemStatus = [&failed](const std::string& aId) {
+    return failed.insert(aId).second ? 500 : 200;
+  };
+  SetUpService();
+  http::test::RawServer breaking(m_loop, AnswerAndBreakOff);
+  Json heartbeat = Json::parse(m_sampler.Heartbeat("samplers", "ready"));
+  heartbeat["address"] = breaking.Address();
+  SendUntil(
+    200, m_controls, "PUT", "/auburntrestle/instances/i-0", heartbeat.dump());
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(kItems), "job-1");
+  for (const auto& result : ReadAllResults("job-1")) {
+    EXPECT_EQ(result["state"], "completed");
+    std::set<std::uint64_t> versions;
+    EXPECT_TRUE(
+      Sampler::IsCompleteOutput(result["id"], result["output"], versions))
+      << result;
+  }
+  std::size_t broken = 0;
+  for (std::size_t peer = 0; peer < breaking.AcceptedCount(); ++peer) {
+    broken += breaking.Peer(peer).Received().starts_with("POST /jobs/") ? 1 : 0;
+  }
+  EXPECT_GT(broken, 0U);
+  EXPECT_EQ(failed.size(), kItems);
+}
+
 // Guards against items that are completed without a score, and against a call
 // that always fails and keeps its item until the end of the job.
 TEST_F(WholePathTest, AnItemIsCompletedByItsScore)
