Send one answer of a connection at a time

Cause: Respond ended the exchange before its answer was sent. The next request was handled at once, and its answer replaced the buffer that async_write still read from: a use after free and two writes at a time on one socket. An interim response (100) was a second write in the same way.

Change: a connection handles input only when nothing is being sent, and what is to be sent waits for what is being sent.

--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -106,17 +106,21 @@
     return;
   }
   m_input.append(m_buffer.data(), aBytes);
-  if (!m_exchange) {
-    ProcessInput();
-  }
+  ProcessInput();
   if (m_input.size() < kMaxPipelinedBytes) {
     Read();
   }
 }
 
+bool ServerConnection::MayProcess() const noexcept
+{
+  return !m_input.empty() && !m_exchange && !m_writing && !m_closed &&
+         !m_lingering;
+}
+
 void ServerConnection::ProcessInput()
 {
-  while (!m_input.empty() && !m_exchange && !m_closed && !m_lingering) {
+  while (MayProcess()) {
     if (!m_inRequest) {
       m_inRequest = true;
       SetStageTimer();
@@ -151,11 +155,7 @@
 {
   const auto expect = m_parser.GetHeaders().Find("Expect");
   if (expect && EqualsIgnoreCase(*expect, "100-continue")) {
-    auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
-    asio::async_write(m_socket,
-                      asio::buffer(*text),
-                      [self = shared_from_this(), text](const asio::error_code&,
-                                                        std::size_t) {});
+    Write("HTTP/1.1 100 Continue\r\n\r\n", false);
   }
 }
 
@@ -240,32 +240,53 @@
 
 void ServerConnection::Write(std::string aBytes, bool aClose)
 {
-  m_output = std::move(aBytes);
+  if (m_nextOutput.empty()) {
+    m_nextOutput = std::move(aBytes);
+  } else {
+    m_nextOutput += aBytes;
+  }
+  m_closeAfterWrite = m_closeAfterWrite || aClose;
+  if (!m_writing) {
+    StartWrite();
+  }
+}
+
+void ServerConnection::StartWrite()
+{
+  m_writing = true;
+  m_output = std::exchange(m_nextOutput, {});
   // A client that does not read its response is disconnected.
   SetTimer(m_state->m_limits.m_bodyTimeout);
-  asio::async_write(m_socket,
-                    asio::buffer(m_output),
-                    [self = shared_from_this(),
-                     aClose](const asio::error_code& aError, std::size_t) {
-                      self->OnWritten(aError, aClose);
-                    });
+  asio::async_write(
+    m_socket,
+    asio::buffer(m_output),
+    [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
+      self->OnWritten(aError);
+    });
 }
 
-void ServerConnection::OnWritten(const asio::error_code& aError, bool aClose)
+void ServerConnection::OnWritten(const asio::error_code& aError)
 {
+  m_writing = false;
+  m_output = std::string();
   if (m_closed) {
     return;
   }
-  m_output = std::string();
   if (aError) {
     Close();
     return;
   }
-  if (aClose) {
+  if (!m_nextOutput.empty()) {
+    StartWrite();
+    return;
+  }
+  if (m_closeAfterWrite) {
     LingerAndClose();
     return;
   }
-  SetStageTimer();
+  if (!m_exchange) {
+    SetStageTimer();
+  }
   ProcessInput();
   Read();
 }
@@ -308,7 +329,7 @@
 
 void ServerConnection::CloseIdleAfter(Duration aDelay)
 {
-  if (!m_exchange && !m_inRequest && !m_lingering && m_output.empty()) {
+  if (!m_exchange && !m_inRequest && !m_lingering && !m_writing) {
     SetTimer(aDelay);
   }
 }
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -56,6 +56,9 @@
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
   void ProcessInput();
+  /** @return whether there is input and no earlier request is in progress: its
+   * response must have been sent before the next request is handled. */
+  [[nodiscard]] bool MayProcess() const noexcept;
   void OnRequest();
   /** @return the status to respond with when a limit is exceeded. */
   [[nodiscard]] std::optional<int> CheckLimits();
@@ -64,8 +67,11 @@
   /** Stops counting the body of a request that was answered. */
   void ReleaseBody();
   void RefuseAndClose(int aStatus);
+  /** Sends bytes after those that are being sent. @param aClose whether the
+   * connection is closed after them. */
   void Write(std::string aBytes, bool aClose);
-  void OnWritten(const asio::error_code& aError, bool aClose);
+  void StartWrite();
+  void OnWritten(const asio::error_code& aError);
   void LingerAndClose();
   void SetTimer(Duration aDelay);
   void SetStageTimer();
@@ -79,10 +85,15 @@
   Parser m_parser{ MessageKind::Request };
   std::shared_ptr<Exchange> m_exchange;
   std::optional<timer::TimerId> m_timer;
+  /** The bytes that are being sent; must not change until they are. */
   std::string m_output;
+  /** Bytes to be sent after m_output. */
+  std::string m_nextOutput;
   /** Bytes of the current request's body that ServerState counts. */
   std::size_t m_heldBodyBytes = 0;
   bool m_reading = false;
+  bool m_writing = false;
+  bool m_closeAfterWrite = false;
   bool m_inRequest = false;
   bool m_bodyStarted = false;
   bool m_keepAlive = true;
--- a/test/auburntrestle/http/raw_peer.hpp
+++ b/test/auburntrestle/http/raw_peer.hpp
@@ -151,13 +151,21 @@
   std::vector<std::shared_ptr<RawPeer>> m_peers;
 };
 
+/** @return a connection to a port of this machine that reads nothing yet. */
+inline std::shared_ptr<RawPeer> ConnectWithoutReading(
+  event_loop::EventLoop& aLoop,
+  std::uint16_t aPort)
+{
+  tcp::socket socket(aLoop.Context());
+  socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), aPort));
+  return std::make_shared<RawPeer>(std::move(socket));
+}
+
 /** @return a connection to a port of this machine. */
 inline std::shared_ptr<RawPeer> ConnectTo(event_loop::EventLoop& aLoop,
                                           std::uint16_t aPort)
 {
-  tcp::socket socket(aLoop.Context());
-  socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), aPort));
-  auto peer = std::make_shared<RawPeer>(std::move(socket));
+  auto peer = ConnectWithoutReading(aLoop, aPort);
   peer->Read();
   return peer;
 }
--- a/test/auburntrestle/http/server_test.cpp
+++ b/test/auburntrestle/http/server_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +12,7 @@
 namespace {
 
 using test::ConnectTo;
+using test::ConnectWithoutReading;
 using test::RunUntil;
 
 std::size_t CountOccurrences(const std::string& aText, const std::string& aPart)
@@ -201,6 +204,110 @@
   EXPECT_NE(peer->Received().find("413"), std::string::npos);
 }
 
+struct PipelineCase
+{
+  std::string m_name;
+  std::size_t m_firstBytes = 0;
+  /** Time before the client begins to read. */
+  Duration m_pause{};
+  /** The client closes after this many bytes; absent to read everything. */
+  std::optional<std::size_t> m_closesAfter = std::nullopt;
+  std::size_t m_furtherRequests = 3;
+};
+
+class PipelineTest
+  : public ServerTest
+  , public testing::WithParamInterface<PipelineCase>
+{
+protected:
+  static Response ResponseFor(const std::string& aTarget)
+  {
+    Response response;
+    response.m_body = aTarget == "/first"
+                        ? std::string(GetParam().m_firstBytes, 'x')
+                        : "answer to " + aTarget;
+    return response;
+  }
+
+  static std::string Get(const std::string& aTarget)
+  {
+    return "GET " + aTarget + " HTTP/1.1\r\n\r\n";
+  }
+};
+
+// Guards against a request that arrives while the answer before it is sent: its
+// own answer took the place of the bytes being sent, which were freed.
+TEST_P(PipelineTest, AnswersFollowEachOtherWhole)
+{
+  std::size_t handled = 0;
+  Listen([&](const std::shared_ptr<Exchange>& aExchange) {
+    ++handled;
+    aExchange->Respond(ResponseFor(aExchange->GetRequest().m_target));
+  });
+  const auto peer = ConnectWithoutReading(m_loop, m_server->Port());
+  peer->Send(Get("/first"));
+  RunUntil(m_loop, [&] { return handled == 1; });
+  std::string expected = Serialise(ResponseFor("/first"), false);
+  for (std::size_t count = 0; count < GetParam().m_furtherRequests; ++count) {
+    const std::string target = "/next-" + std::to_string(count);
+    peer->Send(Get(target));
+    expected += Serialise(ResponseFor(target), false);
+  }
+  bool paused = false;
+  m_loop.After(GetParam().m_pause, [&paused] { paused = true; });
+  RunUntil(m_loop, [&paused] { return paused; });
+  peer->Read();
+  if (GetParam().m_closesAfter) {
+    RunUntil(m_loop, [&] {
+      return peer->Received().size() >= *GetParam().m_closesAfter;
+    });
+    peer->Close();
+    RunUntil(m_loop, [&] { return m_server->Connections() == 0; });
+  } else {
+    RunUntil(m_loop,
+             [&] { return peer->Received().size() >= expected.size(); });
+    EXPECT_TRUE(peer->Received() == expected);
+  }
+  EXPECT_EQ(m_server->ActiveExchanges(), 0U);
+}
+
+constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
+
+INSTANTIATE_TEST_SUITE_P(
+  Answers,
+  PipelineTest,
+  testing::Values(PipelineCase{ .m_name = "small", .m_firstBytes = 1024 },
+                  PipelineCase{ .m_name = "large", .m_firstBytes = kMebibyte },
+                  PipelineCase{ .m_name = "very_large",
+                                .m_firstBytes = 16 * kMebibyte },
+                  PipelineCase{ .m_name = "slow_reader",
+                                .m_firstBytes = 16 * kMebibyte,
+                                .m_pause = std::chrono::seconds(1) },
+                  PipelineCase{ .m_name = "many_requests",
+                                .m_firstBytes = 16 * kMebibyte,
+                                .m_furtherRequests = 5000 },
+                  PipelineCase{ .m_name = "closes_halfway",
+                                .m_firstBytes = 16 * kMebibyte,
+                                .m_closesAfter = kMebibyte }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against an interim response whose bytes mix with those of the answer.
+TEST_F(ServerTest, AnAnswerFollowsItsInterimResponse)
+{
+  ListenWithEcho();
+  const auto peer = ConnectTo(m_loop, m_server->Port());
+  peer->Send("POST /a HTTP/1.1\r\nExpect: 100-continue\r\n"
+             "Content-Length: 3\r\n\r\n");
+  RunUntil(m_loop, [&] { return !peer->Received().empty(); });
+  peer->Send("xyz");
+  Response answer;
+  answer.m_body = "/axyz";
+  const auto expected =
+    "HTTP/1.1 100 Continue\r\n\r\n" + Serialise(answer, false);
+  RunUntil(m_loop, [&] { return peer->Received().size() >= expected.size(); });
+  EXPECT_EQ(peer->Received(), expected);
+}
+
 TEST_F(ServerTest, ReportsAClientThatDisconnectsBeforeItsResponse)
 {
   bool disconnected = false;
