Count a request as active until its answer has been sent

Cause: a request was active until its handler had answered it, and a stopping instance waits for active requests only.

Change: it is active until its answer has been handed to the system, and on a connection that closes, until the client closes; such a connection stays open past the linger time while the system still delivers.

--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -1,6 +1,8 @@
 #include "auburntrestle/http/internal/server_connection.hpp"
 
 #include <asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <utility>
@@ -208,6 +210,7 @@
     m_state->m_loop.Cancel(*std::exchange(m_timer, std::nullopt));
   }
   m_exchange = std::make_shared<Exchange>(std::move(request), weak_from_this());
+  m_active = true;
   ++m_state->m_activeExchanges;
   m_state->m_handler(m_exchange);
 }
@@ -233,7 +236,6 @@
   }
   const bool close = !m_keepAlive || m_state->m_draining;
   m_exchange.reset();
-  --m_state->m_activeExchanges;
   ReleaseBody();
   Write(Serialise(aResponse, close), close);
 }
@@ -284,6 +286,9 @@
     LingerAndClose();
     return;
   }
+  if (!m_exchange) {
+    EndActivity();
+  }
   if (!m_exchange) {
     SetStageTimer();
   }
@@ -298,10 +303,37 @@
   m_lingering = true;
   asio::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  SetTimer(kLingerTime);
+  SetTimer(kLingerTime, [this] { FinishLinger(); });
   Read();
 }
 
+void ServerConnection::FinishLinger()
+{
+  const std::size_t unsent = UnsentBytes();
+  const bool progresses = unsent > 0 && unsent < m_unsentBytes;
+  m_unsentBytes = unsent;
+  if (progresses) {
+    SetTimer(kLingerTime, [this] { FinishLinger(); });
+  } else {
+    Close();
+  }
+}
+
+std::size_t ServerConnection::UnsentBytes()
+{
+  int bytes = 0;
+  const bool known =
+    ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void ServerConnection::EndActivity()
+{
+  if (std::exchange(m_active, false)) {
+    --m_state->m_activeExchanges;
+  }
+}
+
 void ServerConnection::SetStageTimer()
 {
   const auto& limits = m_state->m_limits;
@@ -315,16 +347,22 @@
 }
 
 void ServerConnection::SetTimer(Duration aDelay)
+{
+  SetTimer(aDelay, [this] { Close(); });
+}
+
+void ServerConnection::SetTimer(Duration aDelay, std::function<void()> aWork)
 {
   if (m_timer) {
     m_state->m_loop.Cancel(*m_timer);
   }
-  m_timer = m_state->m_loop.After(aDelay, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->m_timer.reset();
-      self->Close();
-    }
-  });
+  m_timer = m_state->m_loop.After(
+    aDelay, [weak = weak_from_this(), work = std::move(aWork)] {
+      if (const auto self = weak.lock()) {
+        self->m_timer.reset();
+        work();
+      }
+    });
 }
 
 void ServerConnection::CloseIdleAfter(Duration aDelay)
@@ -354,8 +392,8 @@
   const auto exchange = std::exchange(m_exchange, nullptr);
   const auto self = shared_from_this();
   m_state->m_connections.erase(self);
+  EndActivity();
   if (exchange) {
-    --m_state->m_activeExchanges;
     exchange->m_responded = true;
     if (const auto work = std::exchange(exchange->m_onClosed, nullptr)) {
       work();
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -7,6 +7,8 @@
 #include <asio/ip/tcp.hpp>
 
 #include <array>
+#include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -73,7 +75,15 @@
   void StartWrite();
   void OnWritten(const asio::error_code& aError);
   void LingerAndClose();
+  /** Closes the connection unless the system still sends the last response. */
+  void FinishLinger();
+  /** @return bytes that the system has not delivered to the client yet. */
+  [[nodiscard]] std::size_t UnsentBytes();
+  /** Stops counting the current request as active. */
+  void EndActivity();
+  /** Closes the connection after a time. */
   void SetTimer(Duration aDelay);
+  void SetTimer(Duration aDelay, std::function<void()> aWork);
   void SetStageTimer();
   void OnClientDisconnected();
   void SendContinue();
@@ -98,6 +108,11 @@
   bool m_bodyStarted = false;
   bool m_keepAlive = true;
   bool m_lingering = false;
+  /** ServerState counts the current request as active: its response has not
+   * been sent completely. */
+  bool m_active = false;
+  /** UnsentBytes when FinishLinger looked last. */
+  std::size_t m_unsentBytes = std::numeric_limits<std::size_t>::max();
   bool m_closed = false;
 };
 
--- a/src/auburntrestle/http/server.hpp
+++ b/src/auburntrestle/http/server.hpp
@@ -106,7 +106,9 @@
   void Drain(Duration aIdle);
   /** @return the port listened on. */
   [[nodiscard]] std::uint16_t Port() const noexcept;
-  /** @return the number of requests without a response yet. */
+  /** @return the number of requests whose response has not been sent yet; with
+   * Connection: close, whose client has not received it yet, as far as known.
+   */
   [[nodiscard]] std::size_t ActiveExchanges() const noexcept;
   /** @return the number of open connections. */
   [[nodiscard]] std::size_t Connections() const noexcept;
--- a/test/auburntrestle/http/server_test.cpp
+++ b/test/auburntrestle/http/server_test.cpp
@@ -343,6 +343,31 @@
   EXPECT_EQ(CountOccurrences(busy->Received(), "Connection: close"), 1U);
 }
 
+// Guards against a process that exits while it sends an answer, because it has
+// no request left.
+TEST_F(ServerTest, ARequestIsActiveUntilItsAnswerIsSent)
+{
+  constexpr std::size_t kAnswerBytes = 16 * kMebibyte;
+  std::shared_ptr<Exchange> held;
+  Listen([&](const std::shared_ptr<Exchange>& aExchange) { held = aExchange; });
+  const auto peer = ConnectWithoutReading(m_loop, m_server->Port());
+  peer->Send("GET /a HTTP/1.1\r\n\r\n");
+  RunUntil(m_loop, [&] { return held != nullptr; });
+  m_server->Drain(std::chrono::milliseconds(10));
+  Response response;
+  response.m_body = std::string(kAnswerBytes, 'x');
+  held->Respond(response);
+  bool waited = false;
+  m_loop.After(std::chrono::milliseconds(50), [&waited] { waited = true; });
+  RunUntil(m_loop, [&waited] { return waited; });
+  EXPECT_EQ(m_server->ActiveExchanges(), 1U);
+  peer->Read();
+  RunUntil(m_loop, [&] { return peer->IsClosed(); });
+  EXPECT_TRUE(peer->Received() == Serialise(response, true));
+  peer->Close();
+  RunUntil(m_loop, [&] { return m_server->ActiveExchanges() == 0; });
+}
+
 TEST_F(ServerTest, DisconnectsASlowClient)
 {
   ListenWithEcho();
