Give out no result of several versions where one is required

Cause: an order was allowed to go on with running items unless the engine had run an item of such a route when it was sent; nothing looked at the versions of an output.

Change: orders to engines of a service that any single_version route leads to wait for the end of runs. An output with several versions is discarded as soon as that is seen, at the latest when it is complete, and its item runs again.

--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -124,6 +124,7 @@
     }
     engine.m_record = record;
     engine.m_slots = std::max(record.m_slots, 1U);
+    engine.m_pinned = aRoutes.RequiresSingleVersion(record.m_service);
     if (restarted) {
       ReadReport(id);
     }
@@ -143,14 +144,6 @@
   m_rollout.SetDemand(aModel, aDemand);
 }
 
-void EnginePool::SetPinned(const BackendId& aEngine, bool aPinned)
-{
-  const auto found = m_engines.find(aEngine);
-  if (found != m_engines.end()) {
-    found->second.m_pinned = aPinned;
-  }
-}
-
 void EnginePool::UpdateScheduler(const BackendId& aId)
 {
   const auto found = m_engines.find(aId);
--- a/src/auburntrestle/fleet/engine_pool.hpp
+++ b/src/auburntrestle/fleet/engine_pool.hpp
@@ -74,8 +74,6 @@
   void SetNewest(std::map<ModelName, WeightVersion> aNewest);
   /** See WeightRollout::SetDemand. */
   void SetDemand(const ModelName& aModel, double aDemand);
-  /** Sets whether the runs on an engine must keep their weight version. */
-  void SetPinned(const BackendId& aEngine, bool aPinned);
 
   /** Records a failure; the engine is avoided with exponential backoff. */
   void RecordFailure(const BackendId& aEngine);
@@ -123,6 +121,8 @@
     bool m_loadAccepted = false;
     /** The engine refused this leader's fencing number. */
     bool m_fencedOff = false;
+    /** Runs on the engine must keep their weight version, so that an order
+     * waits for their end. It may be carried out long after it was sent. */
     bool m_pinned = false;
     /** Not used before this time. */
     TimePoint m_avoidUntil{};
--- a/src/auburntrestle/fleet/item_transcript.hpp
+++ b/src/auburntrestle/fleet/item_transcript.hpp
@@ -85,6 +85,10 @@
   [[nodiscard]] const std::string& Output() const noexcept { return m_output; }
   /** @return the weight versions that generated events, ascending. */
   [[nodiscard]] std::vector<WeightVersion> Versions() const;
+  [[nodiscard]] std::size_t VersionCount() const noexcept
+  {
+    return m_versions.size();
+  }
   /** @return the weight version of the current run, if known. */
   [[nodiscard]] std::optional<WeightVersion> CurrentVersion() const noexcept
   {
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -277,9 +277,6 @@
   aItem->m_startedAt = MonotonicClock::Now();
   aItem->m_lastEventAt = aItem->m_startedAt;
   m_engines.Scheduler().RecordStart(aEngine, item.m_group);
-  if (route->m_singleVersion) {
-    m_engines.SetPinned(aEngine, true);
-  }
   http::CallOptions options;
   options.m_timeout = left;
   LogLine(LogLevel::Info, "item_started")
@@ -344,6 +341,11 @@
     AbortRun(aItem, ToString(events.error()));
     return;
   }
+  if (MixesVersions(*aItem, aItem->m_transcript.VersionCount())) {
+    DiscardOutput(*aItem);
+    AbortRun(aItem, "versions_mixed");
+    return;
+  }
   if (*events > 0) {
     const Duration gap =
       (now - aItem->m_lastEventAt) / static_cast<std::int64_t>(*events);
@@ -415,6 +417,16 @@
   }
 }
 
+bool JobRunner::MixesVersions(const Item& aItem, std::size_t aVersions) const
+{
+  if (aVersions <= 1 || !m_routes) {
+    return false;
+  }
+  const Route* route =
+    m_routes->Match(aItem.m_job->m_spec->m_host, aItem.Spec().m_path);
+  return route != nullptr && route->m_singleVersion;
+}
+
 void JobRunner::DiscardOutput(Item& aItem)
 {
   aItem.m_transcript.Clear();
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -105,6 +105,10 @@
   void OnDone(const ItemPtr& aItem,
               tl::expected<void, http::CallFailure> aResult);
   void OnFailedAttempt(const ItemPtr& aItem, int aStatus);
+  /** @return whether the route of an item permits only one weight version and
+   * its output has several. */
+  [[nodiscard]] bool MixesVersions(const Item& aItem,
+                                   std::size_t aVersions) const;
   /** Discards the partial output, so that it is generated from the start. */
   static void DiscardOutput(Item& aItem);
   void EndRun(Item& aItem);
--- a/src/auburntrestle/fleet/job_runner_rewards.cpp
+++ b/src/auburntrestle/fleet/job_runner_rewards.cpp
@@ -14,6 +14,15 @@
 
 void JobRunner::OnOutputComplete(const ItemPtr& aItem, PartialOutput aOutput)
 {
+  if (MixesVersions(*aItem, aOutput.m_versions.size())) {
+    // Recorded by an earlier leader, or resumed on an engine whose version had
+    // changed.
+    DiscardOutput(*aItem);
+    aItem->m_completeOutput.reset();
+    aItem->m_completeOutputRecorded = false;
+    AbortRun(aItem, "versions_mixed");
+    return;
+  }
   aOutput.m_complete = true;
   aItem->m_completeOutput = std::move(aOutput);
   aItem->m_transcript.Clear();
--- a/src/auburntrestle/fleet/route_configuration.cpp
+++ b/src/auburntrestle/fleet/route_configuration.cpp
@@ -99,6 +99,19 @@
   return nullptr;
 }
 
+bool RouteTable::RequiresSingleVersion(const ServiceName& aService) const
+{
+  const auto& routes = m_configuration.m_routes;
+  return std::any_of(routes.begin(), routes.end(), [&](const Route& aRoute) {
+    return aRoute.m_singleVersion &&
+           std::any_of(aRoute.m_targets.begin(),
+                       aRoute.m_targets.end(),
+                       [&](const RouteTarget& aTarget) {
+                         return aTarget.m_service == aService;
+                       });
+  });
+}
+
 const Service* RouteTable::FindService(const ServiceName& aName) const
 {
   const auto found = m_services.find(aName);
--- a/src/auburntrestle/fleet/route_configuration.hpp
+++ b/src/auburntrestle/fleet/route_configuration.hpp
@@ -140,6 +140,9 @@
                                    std::string_view aPath) const;
   /** @return the service of a name, or null. */
   [[nodiscard]] const Service* FindService(const ServiceName& aName) const;
+  /** @return whether a route to the service requires that one weight version
+   * generates all events of an item. */
+  [[nodiscard]] bool RequiresSingleVersion(const ServiceName& aService) const;
   [[nodiscard]] const RouteConfiguration& Configuration() const noexcept
   {
     return m_configuration;
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -34,6 +34,8 @@
   /** Decides on an item of a batch job: @return its status, 200 for its events.
    * Absent for 200. */
   std::function<int(const std::string&)> m_itemStatus;
+  /** Decides whether the weights change after the first event of an item. */
+  std::function<bool(const std::string&)> m_changesWeights;
   std::function<void(const Json&)> m_onOrder;
   /** The rate limit that all responses state; absent for none. */
   std::optional<double> m_rateLimit;
@@ -225,13 +227,21 @@
     }
     aResponse.m_headers.Add("Content-Type", "text/event-stream");
     aResponse.m_headers.Add(names::kWeightVersion, std::to_string(m_version));
+    const bool changes =
+      m_options.m_changesWeights && m_options.m_changesWeights(id);
     const auto last = aRequest.m_headers.Find(names::kLastEvent);
     for (int event = last ? std::stoi(std::string(*last)) + 1 : 1;
          event <= kEvents;
          ++event) {
+      int version = m_version;
+      if (changes && event > 1) {
+        ++version;
+        aResponse.m_body += std::string(names::kWeightVersionField) + ": " +
+                            std::to_string(version) + "\n";
+      }
       aResponse.m_body += "id: " + std::to_string(event) +
                           "\ndata: " + EventPrefix(id, event) +
-                          std::to_string(m_version) + "\n\n";
+                          std::to_string(version) + "\n\n";
     }
   }
 
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -235,6 +235,9 @@
     options.m_plainStatus = [this](const std::string& aId) {
       return m_plainStatus ? m_plainStatus(aId) : 200;
     };
+    options.m_changesWeights = [this](const std::string& aId) {
+      return m_changesWeights && m_changesWeights(aId);
+    };
     options.m_itemStatus = [this](const std::string& aId) {
       return m_itemStatus ? m_itemStatus(aId) : 200;
     };
@@ -259,6 +262,7 @@
   std::function<int(const std::string&)> m_plainStatus;
   /** Decides on the items of batch jobs. */
   std::function<int(const std::string&)> m_itemStatus;
+  std::function<bool(const std::string&)> m_changesWeights;
   Sampler m_sampler{ m_loop, "i-1", "m", MakeSamplerOptions() };
   PortSource m_ports;
   std::filesystem::path m_folder;
@@ -375,6 +379,37 @@
   EXPECT_TRUE(read.m_body == body);
 }
 
+// Guards against a result of several weight versions on a route that permits
+// one: an order that got no answer may be carried out while an item runs.
+TEST_F(WholePathTest, AResultHasOneVersionWhereTheRouteRequiresIt)
+{
+  constexpr int kItems = 4;
+  std::set<std::string> changed;
+  m_changesWeights = [&changed](const std::string& aId) {
+    return changed.insert(aId).second;
+  };
+  SetUpService();
+  auto manifest = Json::parse(Manifest(2));
+  manifest["routes"][1]["single_version"] = true;
+  SendUntil(200, m_controls, "PUT", "/auburntrestle/config", manifest.dump());
+  SendUntil(200,
+            m_controls,
+            "POST",
+            "/auburntrestle/version-put",
+            R"({"model":"m","version":2})");
+  while (m_sampler.Orders().empty()) {
+    m_loop.Context().run_one();
+  }
+  // Sent before the engine has run any item of the route.
+  EXPECT_EQ(m_sampler.Orders()[0]["strategy"], "wait");
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(kItems), "job-1");
+  for (const auto& result : ReadAllResults("job-1")) {
+    EXPECT_EQ(result["state"], "completed");
+    EXPECT_EQ(result["versions"].size(), 1U) << result;
+  }
+  EXPECT_EQ(changed.size(), kItems);
+}
+
 /** Answers as a sampler whose streams all break off within the second event. */
 void AnswerAndBreakOff(http::test::RawPeer& aPeer)
 {
