Answer a job that is submitted again with the outcome of the first submission

Change: submissions of a job that is being replicated wait for its outcome; one that the state has is accepted without a log entry; NoRoom after an attempt that may have run counts as an unknown outcome.

No test plays a leader without room.

--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -79,14 +79,18 @@
   pending->m_method = kProposeMethod;
   pending->m_command = std::move(aCommand);
   pending->m_deadline = MonotonicClock::Now() + aTimeout;
-  pending->m_callback = [callback = std::move(aCallback)](
+  pending->m_callback = [callback = std::move(aCallback),
+                         &mayHaveRun = pending->m_mayHaveRun](
                           tl::expected<ReplyBody, LinkError> aReply) {
+    const auto* reply = aReply ? std::get_if<CommandReply>(&*aReply) : nullptr;
     if (!aReply) {
       callback(tl::make_unexpected(aReply.error()));
-    } else if (const auto* reply = std::get_if<CommandReply>(&*aReply)) {
-      callback(reply->m_result);
-    } else {
+    } else if (reply == nullptr ||
+               (reply->m_result == CommandResult::NoRoom && mayHaveRun)) {
+      // There was no room for this attempt, but an earlier one may be applied.
       callback(tl::make_unexpected(LinkError::OutcomeUnknown));
+    } else {
+      callback(reply->m_result);
     }
   };
   Try(pending);
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -23,6 +23,29 @@
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
 
+/** @return the job that a command submits, if it does. */
+std::optional<JobId> JobOf(const Command& aCommand)
+{
+  const auto* accept = std::get_if<AcceptJob>(&aCommand);
+  return accept != nullptr ? std::optional(accept->m_spec.m_id) : std::nullopt;
+}
+
+/** @return the outcome of a proposal for those who wait for it. */
+tl::expected<CommandResult, LinkError> ResultOf(
+  const tl::expected<CommandResult, ProposeError>& aProposed,
+  bool aIsJob)
+{
+  if (aProposed) {
+    return *aProposed;
+  }
+  if (aIsJob && aProposed.error() == ProposeError::NoRoom) {
+    return CommandResult::NoRoom;
+  }
+  return tl::make_unexpected(aProposed.error() == ProposeError::OutcomeUnknown
+                               ? LinkError::OutcomeUnknown
+                               : LinkError::NotRun);
+}
+
 } // namespace
 
 StoreService::StoreService(event_loop::EventLoop& aLoop,
@@ -277,7 +300,7 @@
 void StoreService::HandlePropose(std::string aPayload,
                                  const protocol::Reply& aReply)
 {
-  bool isJob = false;
+  std::optional<JobId> job;
   {
     // Decoded in a scope of its own: a job can be large.
     const auto command = DecodeCommand(aPayload);
@@ -287,22 +310,22 @@
       aReply.Fail("unreadable");
       return;
     }
-    if (IsRepeatedAnnouncement(*command)) {
+    if (IsRepeated(*command)) {
       aReply.Send(Encode(ReplyBody(CommandReply{ CommandResult::Done })));
       return;
     }
-    isJob = std::holds_alternative<AcceptJob>(*command);
+    job = JobOf(*command);
   }
   ProposeEncoded(
     std::move(aPayload),
-    isJob,
+    std::move(job),
     [this, aReply](const tl::expected<CommandResult, LinkError>& aResult) {
       if (aResult) {
         aReply.Send(Encode(ReplyBody(CommandReply{ *aResult })));
       } else if (aResult.error() == LinkError::NotRun) {
         RefuseCall(aReply);
       } else {
-        aReply.Fail("leadership lost");
+        aReply.Fail("outcome unknown");
       }
     });
 }
@@ -386,66 +409,92 @@
   aReply.Fail("text store");
 }
 
-bool StoreService::IsRepeatedAnnouncement(const Command& aCommand) const
+bool StoreService::IsRepeated(const Command& aCommand) const
 {
   const State& state = m_replica->GetState();
   if (const auto* backend = std::get_if<AnnounceBackend>(&aCommand)) {
     return !state.IsChange(backend->m_record);
   }
+  if (const auto* job = std::get_if<AcceptJob>(&aCommand)) {
+    return state.FindJob(job->m_spec.m_id) != nullptr;
+  }
   const auto* member = std::get_if<AnnounceMember>(&aCommand);
   return member != nullptr && !state.IsChange(*member);
 }
 
-void StoreService::ProposeLocally(
-  const Command& aCommand,
-  std::function<void(tl::expected<CommandResult, LinkError>)> aCallback)
+void StoreService::ProposeLocally(const Command& aCommand,
+                                  ProposalCallback aCallback)
 {
-  if (m_replica->IsLeading() && IsRepeatedAnnouncement(aCommand)) {
+  if (m_replica->IsLeading() && IsRepeated(aCommand)) {
     aCallback(CommandResult::Done);
     return;
   }
-  ProposeEncoded(Encode(aCommand),
-                 std::holds_alternative<AcceptJob>(aCommand),
-                 std::move(aCallback));
+  ProposeEncoded(Encode(aCommand), JobOf(aCommand), std::move(aCallback));
 }
 
-void StoreService::ProposeEncoded(
-  SharedBytes aCommand,
-  bool aIsJob,
-  std::function<void(tl::expected<CommandResult, LinkError>)> aCallback)
+bool StoreService::TryStartReplication(const JobId& aJob, std::size_t aBytes)
 {
-  const std::size_t jobBytes = aIsJob ? aCommand.size() : 0;
   const std::size_t limit = m_options.m_requestLimits.m_replicatedJobBytes;
-  if (aIsJob && m_replicatedJobBytes + jobBytes > limit) {
+  if (m_replicatedJobBytes + aBytes > limit) {
     LogLine(LogLevel::Warning, "job_without_room")
-      .Add("bytes", jobBytes)
+      .Add("job", aJob)
+      .Add("bytes", aBytes)
       .Add("replicated", m_replicatedJobBytes)
       .Add("limit", limit);
-    aCallback(CommandResult::NoRoom);
-    return;
+    return false;
+  }
+  m_replicatedJobs.try_emplace(aJob);
+  m_replicatedJobBytes += aBytes;
+  return true;
+}
+
+void StoreService::FinishReplication(
+  const JobId& aJob,
+  std::size_t aBytes,
+  const tl::expected<CommandResult, LinkError>& aResult)
+{
+  m_replicatedJobBytes -= aBytes;
+  const auto waiting = m_replicatedJobs.extract(aJob);
+  for (const auto& callback : waiting.mapped()) {
+    callback(aResult);
+  }
+}
+
+void StoreService::ProposeEncoded(SharedBytes aCommand,
+                                  std::optional<JobId> aJob,
+                                  ProposalCallback aCallback)
+{
+  const std::size_t bytes = aCommand.size();
+  if (aJob) {
+    const auto replicated = m_replicatedJobs.find(*aJob);
+    if (replicated != m_replicatedJobs.end()) {
+      replicated->second.push_back(std::move(aCallback));
+      return;
+    }
+    if (!TryStartReplication(*aJob, bytes)) {
+      aCallback(CommandResult::NoRoom);
+      return;
+    }
   }
-  m_replicatedJobBytes += jobBytes;
   const TimePoint started = MonotonicClock::Now();
   m_replica->Propose(
     std::move(aCommand),
-    [this, started, aIsJob, jobBytes, callback = std::move(aCallback)](
-      tl::expected<CommandResult, ProposeError> aResult) {
-      m_replicatedJobBytes -= jobBytes;
+    [this,
+     started,
+     bytes,
+     job = std::move(aJob),
+     callback = std::move(aCallback)](
+      const tl::expected<CommandResult, ProposeError>& aProposed) {
       m_options.m_instruments->Count(observe::counters::kProposals,
-                                     aResult ? "applied" : "failed");
+                                     aProposed ? "applied" : "failed");
       m_options.m_instruments->ObserveDuration(observe::histograms::kCommitTime,
-                                               aResult ? "applied" : "failed",
+                                               aProposed ? "applied" : "failed",
                                                MonotonicClock::Now() - started);
-      if (aResult) {
-        callback(*aResult);
-      } else if (aIsJob && aResult.error() == ProposeError::NoRoom) {
-        callback(CommandResult::NoRoom);
-      } else {
-        callback(
-          tl::make_unexpected(aResult.error() == ProposeError::OutcomeUnknown
-                                ? LinkError::OutcomeUnknown
-                                : LinkError::NotRun));
+      const auto result = ResultOf(aProposed, job.has_value());
+      if (job) {
+        FinishReplication(*job, bytes, result);
       }
+      callback(result);
     });
 }
 
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace auburntrestle::fleet {
 
@@ -88,6 +89,9 @@
   }
 
 private:
+  using ProposalCallback =
+    std::function<void(const tl::expected<CommandResult, LinkError>&)>;
+
   StoreService(event_loop::EventLoop& aLoop,
                InstanceOptions aOptions,
                StoreOptions aStore,
@@ -113,19 +117,25 @@
                       OutcomeCallback aCallback);
 
   // Proposals and calls of peers.
-  /** @return whether a command announces what the state has already, which
-   * needs no log entry. Instances that are not members of the log announce
-   * themselves, and forward every heartbeat, again and again. */
-  [[nodiscard]] bool IsRepeatedAnnouncement(const Command& aCommand) const;
-  void ProposeLocally(
-    const Command& aCommand,
-    std::function<void(tl::expected<CommandResult, LinkError>)> aCallback);
+  /** @return whether a command announces what the state has already, or submits
+   * a job that it has, which needs no log entry. Instances that are not members
+   * of the log announce themselves, and forward every heartbeat, again and
+   * again. */
+  [[nodiscard]] bool IsRepeated(const Command& aCommand) const;
+  void ProposeLocally(const Command& aCommand, ProposalCallback aCallback);
   /** Proposes an encoded command. A job for which there is no room has the
-   * result NoRoom, so that nobody sends it again at once. */
-  void ProposeEncoded(
-    SharedBytes aCommand,
-    bool aIsJob,
-    std::function<void(tl::expected<CommandResult, LinkError>)> aCallback);
+   * result NoRoom, so that nobody sends it again at once.
+   * @param aJob the job that the command submits, if it does. */
+  void ProposeEncoded(SharedBytes aCommand,
+                      std::optional<JobId> aJob,
+                      ProposalCallback aCallback);
+  /** Adds a job to those being replicated.
+   * @return false if there is no room for it. */
+  [[nodiscard]] bool TryStartReplication(const JobId& aJob, std::size_t aBytes);
+  /** Ends the replication of a job with its outcome. */
+  void FinishReplication(const JobId& aJob,
+                         std::size_t aBytes,
+                         const tl::expected<CommandResult, LinkError>& aResult);
   void HandleCall(protocol::Method aMethod,
                   std::string aPayload,
                   const protocol::Reply& aReply);
@@ -176,7 +186,10 @@
   DirectoryConfirmation m_confirmation;
   /** When the last record of an order to an engine was applied here. */
   std::optional<TimePoint> m_lastOrderAt;
-  /** Encoded bytes of the jobs that are being replicated. */
+  /** The jobs that are being replicated, with the callbacks of submissions that
+   * came meanwhile. */
+  std::map<JobId, std::vector<ProposalCallback>> m_replicatedJobs;
+  /** The encoded bytes of these jobs. */
   std::size_t m_replicatedJobBytes = 0;
   /** Destroyed first, because its thread calls into the other members. */
   std::unique_ptr<protocol::PeerTransport> m_transport;
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -288,8 +288,6 @@
   }
   if (!m_exchange) {
     EndActivity();
-  }
-  if (!m_exchange) {
     SetStageTimer();
   }
   ProcessInput();
