--- a/soak/pipelining_client.cpp
+++ b/soak/pipelining_client.cpp
@@ -30,6 +30,10 @@
   const auto address = settings::SocketAddress::Parse(aAddress);
   const asio::ip::tcp::endpoint endpoint(
     asio::ip::make_address(address->Host()), address->Port());
+  // A small window, so that an answer does not fit into the system's buffers.
+  constexpr int kReceiveBytes = 4096;
+  m_socket.open(endpoint.protocol());
+  m_socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBytes));
   m_socket.async_connect(
     endpoint, [self = shared_from_this()](const asio::error_code& aError) {
       if (!aError) {
