Let the test of repeated reward calls wait until the outputs are recorded

Cause: the test killed the leader as soon as both reward calls had failed once. Trace of three failed runs with the logs of the instances kept: item_started and reward_unsuccessful at 22.866 s, the killed leader is up again at 22.872 s; 26.121 and 26.127 s; 34.744 and 34.758 s. Outputs are batched for 15 ms before they are proposed (JobRunner::kRecordBatchDelay), and a new leader generates again what was not recorded, which the users' pages allow ("An item may run more than once").

Change: the test waits 500 ms before the first kill. It stays as strict: an output must be generated once though every store is killed in turn.

--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -1,3 +1,4 @@
+#include "auburntrestle/fleet/job_runner.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/http/raw_peer.hpp"
 #include "platform/instance_files.hpp"
@@ -526,7 +527,15 @@
   while (failed.size() < 2) {
     m_loop.Context().run_one();
   }
-  // The outputs are recorded while the reward calls fail.
+  // Complete outputs are recorded in batches. A leader that is killed before
+  // that takes them with it, and the next one generates them again.
+  constexpr Duration kRecordTime = std::chrono::milliseconds(500);
+  static_assert(kRecordTime > 10 * fleet::JobRunner::kRecordBatchDelay);
+  bool recorded = false;
+  m_loop.After(kRecordTime, [&recorded] { recorded = true; });
+  while (!recorded) {
+    m_loop.Context().run_one();
+  }
   for (int store = 0; store < kStores; ++store) {
     m_processes.at("store" + std::to_string(store)).Kill();
     StartStore(store, false);
