--- a/src/auburntrestle/consensus/file_storage.cpp
+++ b/src/auburntrestle/consensus/file_storage.cpp
@@ -1,8 +1,7 @@
 #include "auburntrestle/consensus/file_storage.hpp"
 
 #include "auburntrestle/consensus/internal/encoding.hpp"
-
-#include <xxhash.h>
+#include "auburntrestle/consensus/internal/record.hpp"
 
 #include <algorithm>
 #include <array>
@@ -14,8 +13,13 @@
 
 namespace {
 
+using internal::ChecksumOf;
 using internal::Decoder;
 using internal::Encoder;
+using internal::HasRecordAfter;
+using internal::kRecordHeaderSize;
+using internal::ParsedRecord;
+using internal::ParseRecord;
 
 constexpr std::string_view kHardStateFile = "hard_state";
 constexpr std::string_view kSnapshotFile = "snapshot";
@@ -26,85 +30,11 @@
 
 constexpr std::uint64_t kSegmentMagic = 0x31'47'45'53'4c'54'55'41;
 constexpr std::uint64_t kFileMagic = 0x31'45'4c'49'46'54'55'41;
-constexpr std::uint32_t kRecordMagic = 0x31'43'45'52;
 /** Magic and segment number. */
 constexpr std::size_t kSegmentHeaderSize = 16;
-/** Magic, payload length, header checksum and payload checksum. */
-constexpr std::size_t kRecordHeaderSize = 20;
 /** Magic, length and checksum. */
 constexpr std::size_t kFileHeaderSize = 24;
 
-std::uint64_t ChecksumOf(std::string_view aBytes)
-{
-  return XXH3_64bits(aBytes.data(), aBytes.size());
-}
-
-/** Includes the offset, so that a copy of a record at another offset is not
- * accepted as valid. */
-std::uint32_t HeaderChecksum(std::uint32_t aLength,
-                             std::uint64_t aSegment,
-                             std::uint64_t aOffset)
-{
-  std::string bytes;
-  Encoder encoder(bytes);
-  encoder.WriteUint32(kRecordMagic);
-  encoder.WriteUint32(aLength);
-  encoder.WriteUint64(aSegment);
-  encoder.WriteUint64(aOffset);
-  return XXH32(bytes.data(), bytes.size(), 0);
-}
-
-/** The payload of a record and the result of its checks. */
-struct ParsedRecord
-{
-  bool m_headerValid = false;
-  bool m_complete = false;
-  bool m_payloadValid = false;
-  std::string_view m_payload;
-};
-
-ParsedRecord ParseRecord(std::string_view aContents,
-                         std::uint64_t aSegment,
-                         std::uint64_t aOffset)
-{
-  ParsedRecord view;
-  if (aContents.size() - aOffset < kRecordHeaderSize) {
-    return view;
-  }
-  Decoder decoder(aContents.substr(aOffset, kRecordHeaderSize));
-  const std::uint32_t magic = decoder.ReadUint32();
-  const std::uint32_t length = decoder.ReadUint32();
-  const std::uint32_t headerChecksum = decoder.ReadUint32();
-  const std::uint64_t payloadChecksum = decoder.ReadUint64();
-  view.m_headerValid =
-    magic == kRecordMagic &&
-    headerChecksum == HeaderChecksum(length, aSegment, aOffset);
-  const std::uint64_t begin = aOffset + kRecordHeaderSize;
-  view.m_complete = view.m_headerValid && aContents.size() - begin >= length;
-  if (view.m_complete) {
-    view.m_payload = aContents.substr(begin, length);
-    view.m_payloadValid = ChecksumOf(view.m_payload) == payloadChecksum;
-  }
-  return view;
-}
-
-/** @return whether a complete, valid record starts after an offset. */
-bool HasRecordAfter(std::string_view aContents,
-                    std::uint64_t aSegment,
-                    std::uint64_t aOffset)
-{
-  std::string magic;
-  Encoder(magic).WriteUint32(kRecordMagic);
-  for (std::size_t at = aContents.find(magic, aOffset + 1);
-       at != std::string_view::npos;
-       at = aContents.find(magic, at + 1)) {
-    if (ParseRecord(aContents, aSegment, at).m_payloadValid) {
-      return true;
-    }
-  }
-  return false;
-}
-
 std::optional<std::uint64_t> SegmentNumber(std::string_view aName)
 {
   if (!aName.starts_with(kSegmentPrefix) ||
@@ -582,10 +512,7 @@
   if (m_pendingBytes.empty()) {
     m_pendingBytes.assign(kRecordHeaderSize, '\0');
   }
-  std::size_t bytes = m_pendingBytes.size();
-  for (const Entry& entry : aEntries) {
-    bytes += SizeOf(entry);
-  }
+  const std::size_t bytes = m_pendingBytes.size() + SizeOf(aEntries);
   if (bytes > m_pendingBytes.capacity()) {
     m_pendingBytes.reserve(std::max(bytes, 2 * m_pendingBytes.capacity()));
   }
@@ -617,13 +544,8 @@
 {
   const auto payload =
     std::string_view(m_pendingBytes).substr(kRecordHeaderSize);
-  const auto length = static_cast<std::uint32_t>(payload.size());
-  std::string header;
-  Encoder encoder(header);
-  encoder.WriteUint32(kRecordMagic);
-  encoder.WriteUint32(length);
-  encoder.WriteUint32(HeaderChecksum(length, m_segmentNumber, m_segmentSize));
-  encoder.WriteUint64(ChecksumOf(payload));
+  const std::string header =
+    internal::RecordHeader(payload, m_segmentNumber, m_segmentSize);
   // Written over the space left for it, because a record can be large.
   const std::string record =
     std::exchange(m_pendingBytes, {}).replace(0, kRecordHeaderSize, header);
--- a/src/auburntrestle/consensus/node_replication.cpp
+++ b/src/auburntrestle/consensus/node_replication.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/consensus/node.hpp"
 #include "auburntrestle/core/overloaded.hpp"
+#include "auburntrestle/core/transfer_time.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -113,10 +114,7 @@
   request.m_entries =
     m_log.Slice(aProgress.m_next, m_options.m_maxMessageBytes);
   request.m_commit = m_commit;
-  std::size_t bytes = 0;
-  for (const Entry& entry : request.m_entries) {
-    bytes += SizeOf(entry);
-  }
+  const std::size_t bytes = SizeOf(request.m_entries);
   aProgress.m_unacknowledgedBytes += bytes;
   if (aProgress.m_mode == internal::SendMode::Stream &&
       !request.m_entries.empty()) {
@@ -203,10 +201,8 @@
 void Node::ResendIfOverdue(internal::Progress& aProgress) const
 {
   // A message that is still being transferred must not be sent twice.
-  const auto transfer =
-    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      static_cast<double>(aProgress.m_unacknowledgedBytes) /
-      static_cast<double>(m_options.m_minTransferRate)));
+  const Duration transfer =
+    TransferTime(aProgress.m_unacknowledgedBytes, m_options.m_minTransferRate);
   if (!aProgress.IsAwaitingAcknowledgement() ||
       m_now < aProgress.m_lastProgress + m_options.m_resendTimeout + transfer) {
     return;
--- a/src/auburntrestle/consensus/types.cpp
+++ b/src/auburntrestle/consensus/types.cpp
@@ -53,4 +53,13 @@
                     aEntry.m_payload);
 }
 
+std::size_t SizeOf(std::span<const Entry> aEntries) noexcept
+{
+  std::size_t bytes = 0;
+  for (const Entry& entry : aEntries) {
+    bytes += SizeOf(entry);
+  }
+  return bytes;
+}
+
 } // namespace auburntrestle::consensus
--- a/src/auburntrestle/consensus/types.hpp
+++ b/src/auburntrestle/consensus/types.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -111,6 +112,8 @@
 
 /** @return the approximate size of an entry in memory and in a message. */
 [[nodiscard]] std::size_t SizeOf(const Entry& aEntry) noexcept;
+/** @return the sum of the sizes of entries. */
+[[nodiscard]] std::size_t SizeOf(std::span<const Entry> aEntries) noexcept;
 
 /**
  * The position of an entry. Positions are ordered by term and then by index,
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -80,9 +80,10 @@
   }
 };
 
-/** Reads the stored bodies of an item. */
+/** Reads the stored bodies of an item of a job. @return nothing if a body can't
+ * be read, which is logged. */
 using ItemLoader =
-  std::function<tl::expected<JobItem, OutputStoreError>(const JobItem&)>;
+  std::function<std::optional<JobItem>(const JobId&, const JobItem&)>;
 
 /** A batch job as submitted. */
 struct JobSpec
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -247,13 +247,8 @@
     return m_protocol.m_itemRequest(
       spec, aItem.Spec(), aEngine, aTimeLeft, lastEvent);
   }
-  const auto loaded = m_loadItem(aItem.Spec());
+  const auto loaded = m_loadItem(spec.m_id, aItem.Spec());
   if (!loaded) {
-    LogLine(LogLevel::Error, "item_body_unreadable")
-      .Add("job", spec.m_id)
-      .Add("item", aItem.Spec().m_id)
-      .Add("file", loaded.error().m_file)
-      .Add("error", loaded.error().m_systemError);
     return std::nullopt;
   }
   return m_protocol.m_itemRequest(spec, *loaded, aEngine, aTimeLeft, lastEvent);
--- a/src/auburntrestle/fleet/peer_link.hpp
+++ b/src/auburntrestle/fleet/peer_link.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNTRESTLE_FLEET_PEER_LINK_HPP
 #define AUBURNTRESTLE_FLEET_PEER_LINK_HPP
 
+#include "auburntrestle/core/transfer_time.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
@@ -17,8 +18,7 @@
 /** @return the maximum time that bytes take to a peer. */
 [[nodiscard]] inline Duration TransferTime(std::size_t aBytes)
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-    static_cast<double>(aBytes) / static_cast<double>(kMinTransferRate)));
+  return auburntrestle::TransferTime(aBytes, kMinTransferRate);
 }
 
 /** Starts the transport between an instance and its peers. */
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -100,13 +100,9 @@
   ItemView view;
   const auto index = job->m_itemIndex.find(aQuery.m_item);
   if (index != job->m_itemIndex.end()) {
-    auto item = m_replica.GetState().Load(job->m_spec->m_items[index->second]);
+    auto item = m_replica.GetState().Load(aQuery.m_job,
+                                          job->m_spec->m_items[index->second]);
     if (!item) {
-      LogLine(LogLevel::Error, "item_body_unreadable")
-        .Add("job", aQuery.m_job)
-        .Add("item", aQuery.m_item)
-        .Add("file", item.error().m_file)
-        .Add("error", item.error().m_systemError);
       return std::nullopt;
     }
     view.m_body = std::move(item->m_body);
--- a/src/auburntrestle/fleet/reward_caller.cpp
+++ b/src/auburntrestle/fleet/reward_caller.cpp
@@ -237,13 +237,8 @@
   if (!aCall.Reward().m_storedBody) {
     return aCall.Reward();
   }
-  auto loaded = m_options.m_loadItem(aCall.Item());
+  auto loaded = m_options.m_loadItem(aCall.m_task.m_job->m_id, aCall.Item());
   if (!loaded) {
-    LogLine(LogLevel::Error, "item_body_unreadable")
-      .Add("job", aCall.m_task.m_job->m_id)
-      .Add("item", aCall.Item().m_id)
-      .Add("file", loaded.error().m_file)
-      .Add("error", loaded.error().m_systemError);
     return std::nullopt;
   }
   return std::move(loaded->m_reward);
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -58,29 +58,37 @@
   return result;
 }
 
-tl::expected<JobItem, OutputStoreError> State::Load(const JobItem& aItem) const
+tl::expected<void, OutputStoreError> State::LoadBody(
+  std::string& aBody,
+  std::optional<OutputReference>& aStored) const
 {
-  JobItem item = aItem;
-  const auto load = [this](std::string& aBody,
-                           std::optional<OutputReference>& aStored)
-    -> tl::expected<void, OutputStoreError> {
-    if (!aStored) {
-      return {};
-    }
-    auto bytes = m_outputs->Read(*aStored);
-    if (!bytes) {
-      return tl::make_unexpected(bytes.error());
-    }
-    aBody = std::move(*bytes);
-    aStored.reset();
+  if (!aStored) {
     return {};
-  };
-  auto loaded = load(item.m_body, item.m_storedBody);
+  }
+  auto bytes = m_outputs->Read(*aStored);
+  if (!bytes) {
+    return tl::make_unexpected(bytes.error());
+  }
+  aBody = std::move(*bytes);
+  aStored.reset();
+  return {};
+}
+
+std::optional<JobItem> State::Load(const JobId& aJob,
+                                   const JobItem& aItem) const
+{
+  JobItem item = aItem;
+  auto loaded = LoadBody(item.m_body, item.m_storedBody);
   if (loaded && item.m_reward) {
-    loaded = load(item.m_reward->m_body, item.m_reward->m_storedBody);
+    loaded = LoadBody(item.m_reward->m_body, item.m_reward->m_storedBody);
   }
   if (!loaded) {
-    return tl::make_unexpected(loaded.error());
+    observe::LogLine(observe::LogLevel::Error, "item_body_unreadable")
+      .Add("job", aJob)
+      .Add("item", aItem.m_id)
+      .Add("file", loaded.error().m_file)
+      .Add("error", loaded.error().m_systemError);
+    return std::nullopt;
   }
   return item;
 }
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -46,9 +46,10 @@
   /** @return a result together with its output. */
   [[nodiscard]] tl::expected<ItemResult, OutputStoreError> Load(
     const StoredResult& aResult) const;
-  /** @return an item together with its stored bodies. */
-  [[nodiscard]] tl::expected<JobItem, OutputStoreError> Load(
-    const JobItem& aItem) const;
+  /** @return an item of a job together with its stored bodies; see ItemLoader.
+   */
+  [[nodiscard]] std::optional<JobItem> Load(const JobId& aJob,
+                                            const JobItem& aItem) const;
   /** @return the output segments in use, each with the offset up to which it is
    * in use. */
   [[nodiscard]] std::map<OutputSegment, std::uint64_t> OutputSegments() const;
@@ -126,6 +127,10 @@
   /** @return a copy of an item whose large bodies are in the output store. */
   [[nodiscard]] tl::expected<JobItem, OutputStoreError> StoreBodies(
     const JobItem& aItem);
+  /** Reads a body from the output store if it is stored. */
+  [[nodiscard]] tl::expected<void, OutputStoreError> LoadBody(
+    std::string& aBody,
+    std::optional<OutputReference>& aStored) const;
   /** Moves a body to the output store if it is large. */
   [[nodiscard]] tl::expected<void, OutputStoreError> StoreBody(
     std::string& aBody,
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -23,29 +23,6 @@
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
 
-/** @return the job that a command submits, if it does. */
-std::optional<JobId> JobOf(const Command& aCommand)
-{
-  const auto* accept = std::get_if<AcceptJob>(&aCommand);
-  return accept != nullptr ? std::optional(accept->m_spec.m_id) : std::nullopt;
-}
-
-/** @return the outcome of a proposal for those who wait for it. */
-tl::expected<CommandResult, LinkError> ResultOf(
-  const tl::expected<CommandResult, ProposeError>& aProposed,
-  bool aIsJob)
-{
-  if (aProposed) {
-    return *aProposed;
-  }
-  if (aIsJob && aProposed.error() == ProposeError::NoRoom) {
-    return CommandResult::NoRoom;
-  }
-  return tl::make_unexpected(aProposed.error() == ProposeError::OutcomeUnknown
-                               ? LinkError::OutcomeUnknown
-                               : LinkError::NotRun);
-}
-
 } // namespace
 
 StoreService::StoreService(event_loop::EventLoop& aLoop,
@@ -137,8 +114,8 @@
         });
     },
     *m_options.m_instruments);
-  const auto loadItem = [this](const JobItem& aItem) {
-    return m_replica->GetState().Load(aItem);
+  const ItemLoader loadItem = [this](const JobId& aJob, const JobItem& aItem) {
+    return m_replica->GetState().Load(aJob, aItem);
   };
   RewardCallerOptions rewards;
   rewards.m_home = m_options.m_dataCentre;
@@ -297,39 +274,6 @@
   aReply.Refuse(leader ? leader->Get() : std::string());
 }
 
-void StoreService::HandlePropose(std::string aPayload,
-                                 const protocol::Reply& aReply)
-{
-  std::optional<JobId> job;
-  {
-    // Decoded in a scope of its own: a job can be large.
-    const auto command = DecodeCommand(aPayload);
-    if (!command) {
-      LogLine(LogLevel::Warning, "command_unreadable")
-        .Add("bytes", aPayload.size());
-      aReply.Fail("unreadable");
-      return;
-    }
-    if (IsRepeated(*command)) {
-      aReply.Send(Encode(ReplyBody(CommandReply{ CommandResult::Done })));
-      return;
-    }
-    job = JobOf(*command);
-  }
-  ProposeEncoded(
-    std::move(aPayload),
-    std::move(job),
-    [this, aReply](const tl::expected<CommandResult, LinkError>& aResult) {
-      if (aResult) {
-        aReply.Send(Encode(ReplyBody(CommandReply{ *aResult })));
-      } else if (aResult.error() == LinkError::NotRun) {
-        RefuseCall(aReply);
-      } else {
-        aReply.Fail("outcome unknown");
-      }
-    });
-}
-
 void StoreService::HandleCall(protocol::Method aMethod,
                               std::string aPayload,
                               const protocol::Reply& aReply)
@@ -409,95 +353,6 @@
   aReply.Fail("text store");
 }
 
-bool StoreService::IsRepeated(const Command& aCommand) const
-{
-  const State& state = m_replica->GetState();
-  if (const auto* backend = std::get_if<AnnounceBackend>(&aCommand)) {
-    return !state.IsChange(backend->m_record);
-  }
-  if (const auto* job = std::get_if<AcceptJob>(&aCommand)) {
-    return state.FindJob(job->m_spec.m_id) != nullptr;
-  }
-  const auto* member = std::get_if<AnnounceMember>(&aCommand);
-  return member != nullptr && !state.IsChange(*member);
-}
-
-void StoreService::ProposeLocally(const Command& aCommand,
-                                  ProposalCallback aCallback)
-{
-  if (m_replica->IsLeading() && IsRepeated(aCommand)) {
-    aCallback(CommandResult::Done);
-    return;
-  }
-  ProposeEncoded(Encode(aCommand), JobOf(aCommand), std::move(aCallback));
-}
-
-bool StoreService::TryStartReplication(const JobId& aJob, std::size_t aBytes)
-{
-  const std::size_t limit = m_options.m_requestLimits.m_replicatedJobBytes;
-  if (m_replicatedJobBytes + aBytes > limit) {
-    LogLine(LogLevel::Warning, "job_without_room")
-      .Add("job", aJob)
-      .Add("bytes", aBytes)
-      .Add("replicated", m_replicatedJobBytes)
-      .Add("limit", limit);
-    return false;
-  }
-  m_replicatedJobs.try_emplace(aJob);
-  m_replicatedJobBytes += aBytes;
-  return true;
-}
-
-void StoreService::FinishReplication(
-  const JobId& aJob,
-  std::size_t aBytes,
-  const tl::expected<CommandResult, LinkError>& aResult)
-{
-  m_replicatedJobBytes -= aBytes;
-  const auto waiting = m_replicatedJobs.extract(aJob);
-  for (const auto& callback : waiting.mapped()) {
-    callback(aResult);
-  }
-}
-
-void StoreService::ProposeEncoded(SharedBytes aCommand,
-                                  std::optional<JobId> aJob,
-                                  ProposalCallback aCallback)
-{
-  const std::size_t bytes = aCommand.size();
-  if (aJob) {
-    const auto replicated = m_replicatedJobs.find(*aJob);
-    if (replicated != m_replicatedJobs.end()) {
-      replicated->second.push_back(std::move(aCallback));
-      return;
-    }
-    if (!TryStartReplication(*aJob, bytes)) {
-      aCallback(CommandResult::NoRoom);
-      return;
-    }
-  }
-  const TimePoint started = MonotonicClock::Now();
-  m_replica->Propose(
-    std::move(aCommand),
-    [this,
-     started,
-     bytes,
-     job = std::move(aJob),
-     callback = std::move(aCallback)](
-      const tl::expected<CommandResult, ProposeError>& aProposed) {
-      m_options.m_instruments->Count(observe::counters::kProposals,
-                                     aProposed ? "applied" : "failed");
-      m_options.m_instruments->ObserveDuration(observe::histograms::kCommitTime,
-                                               aProposed ? "applied" : "failed",
-                                               MonotonicClock::Now() - started);
-      const auto result = ResultOf(aProposed, job.has_value());
-      if (job) {
-        FinishReplication(*job, bytes, result);
-      }
-      callback(result);
-    });
-}
-
 void StoreService::OnApplied(const Command& aCommand)
 {
   std::visit(
--- a/src/auburntrestle/protocol/consensus_codec.cpp
+++ b/src/auburntrestle/protocol/consensus_codec.cpp
@@ -157,11 +157,7 @@
   Writer writer;
   if (const auto* append =
         std::get_if<consensus::AppendRequest>(&aMessage.m_body)) {
-    std::size_t bytes = kFieldBytes;
-    for (const auto& entry : append->m_entries) {
-      bytes += consensus::SizeOf(entry);
-    }
-    writer.Reserve(bytes);
+    writer.Reserve(kFieldBytes + consensus::SizeOf(append->m_entries));
   }
   writer.Write(aMessage);
   return writer.ExtractBytes();
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -341,7 +341,7 @@
   EXPECT_EQ(m_state.OutputSegments(), bodies);
   const auto& items = m_state.FindJob(JobId("job"))->m_spec->m_items;
   EXPECT_TRUE(items.at(1).HasStoredBody());
-  const auto item = m_state.Load(items.at(1));
+  const auto item = m_state.Load(JobId("job"), items.at(1));
   ASSERT_TRUE(item);
   EXPECT_EQ(item->m_body, large + "item1");
   EXPECT_EQ(item->m_reward->m_body, "item1" + large);
@@ -361,7 +361,7 @@
   AcceptJob("job", 1);
   const auto& item = m_state.FindJob(JobId("job"))->m_spec->m_items.at(0);
   EXPECT_FALSE(item.HasStoredBody());
-  EXPECT_EQ(m_state.Load(item)->m_body, "body");
+  EXPECT_EQ(m_state.Load(JobId("job"), item)->m_body, "body");
   EXPECT_TRUE(m_state.OutputSegments().empty());
 }
 
