--- a/src/auburntrestle/core/ids.hpp
+++ b/src/auburntrestle/core/ids.hpp
@@ -14,6 +14,9 @@
 using DataCentreId = StrongType<struct DataCentreIdTag, std::string>;
 /** An application or trainer that sends requests. */
 using CallerId = StrongType<struct CallerIdTag, std::string>;
+/** A client account: an organisation whose callers share limits and priority.
+ */
+using AccountName = StrongType<struct AccountNameTag, std::string>;
 /** An engine or plain service that does the work. */
 using BackendId = StrongType<struct BackendIdTag, std::string>;
 /** A model that engines serve. */
--- a/src/auburntrestle/fleet/fwd.hpp
+++ b/src/auburntrestle/fleet/fwd.hpp
@@ -4,6 +4,8 @@
 namespace auburntrestle::fleet {
 
 struct BackendRecord;
+struct ClientAccount;
+struct InfrastructureSettings;
 struct Job;
 struct JobSpec;
 struct Route;
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -5,6 +5,7 @@
 
 #include <toml++/toml.h>
 
+#include <cmath>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -13,6 +14,9 @@
 
 namespace {
 
+/** A report for each shorter window would cost more than it tells. */
+constexpr Duration kMinUsageWindow = std::chrono::seconds(1);
+
 /** Reads values by key from a TOML document and collects all faults. */
 class DocumentReader
 {
@@ -125,6 +129,44 @@
     return addresses;
   }
 
+  /** Reads a number above zero. */
+  void Positive(std::string_view aKey, double& aValue)
+  {
+    const auto node = m_document.at_path(aKey);
+    if (!node) {
+      return;
+    }
+    const auto number = node.value<double>();
+    if (!number || !(*number > 0) || !std::isfinite(*number)) {
+      AddFault(aKey, "not a number above 0");
+    } else {
+      aValue = *number;
+    }
+  }
+
+  /** Reads an array of strings, which may be missing. */
+  [[nodiscard]] std::vector<std::string> Strings(std::string_view aKey)
+  {
+    std::vector<std::string> texts;
+    const auto node = m_document.at_path(aKey);
+    if (!node) {
+      return texts;
+    }
+    const auto* array = node.as_array();
+    if (array == nullptr) {
+      AddFault(aKey, "no array");
+      return texts;
+    }
+    for (const auto& entry : *array) {
+      if (const auto text = entry.value_exact<std::string>()) {
+        texts.push_back(*text);
+      } else {
+        AddFault(aKey, "an entry is no string");
+      }
+    }
+    return texts;
+  }
+
   [[nodiscard]] std::vector<SettingsFault> ExtractFaults()
   {
     return std::move(m_faults);
@@ -135,6 +177,42 @@
   std::vector<SettingsFault> m_faults;
 };
 
+void ReadDuties(DocumentReader& aReader, InfrastructureSettings& aSettings)
+{
+  constexpr auto kKey = "infrastructure.duties";
+  for (const auto& duty : aReader.Strings(kKey)) {
+    if (duty == "usage_report") {
+      aSettings.m_reportsUsage = true;
+    } else if (duty == "autoscale") {
+      aSettings.m_ordersServers = true;
+    } else {
+      aReader.AddFault(kKey, "allowed usage_report and autoscale");
+    }
+  }
+}
+
+void ReadInfrastructure(DocumentReader& aReader,
+                        InfrastructureSettings& aSettings)
+{
+  aSettings.m_address = aReader.Address("infrastructure.address", false);
+  if (aSettings.m_address.empty()) {
+    return;
+  }
+  ReadDuties(aReader, aSettings);
+  aReader.Positive("infrastructure.calls_per_second",
+                   aSettings.m_callsPerSecond);
+  aReader.Seconds("infrastructure.usage_window_seconds",
+                  aSettings.m_usageWindow);
+  if (aSettings.m_usageWindow < kMinUsageWindow) {
+    aReader.AddFault("infrastructure.usage_window_seconds",
+                     "allowed 1 to 86400");
+  }
+  aReader.Seconds("infrastructure.usage_due_seconds", aSettings.m_usageDue);
+  aSettings.m_checksFencing =
+    aReader.Get<bool>("infrastructure.checks_fencing", false)
+      .value_or(aSettings.m_checksFencing);
+}
+
 void ReadEntry(DocumentReader& aReader, FleetSettings& aSettings)
 {
   aSettings.m_callerAddress = aReader.Address("listen.callers", true);
@@ -155,6 +233,7 @@
   } else {
     aSettings.m_toleratedLosses = static_cast<std::size_t>(losses);
   }
+  ReadInfrastructure(aReader, aSettings.m_infrastructure);
 }
 
 } // namespace
@@ -252,6 +331,7 @@
   compare(restart, "timing.shutdown_seconds", &FleetSettings::m_shutdownTime);
   compare(
     restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
+  compare(restart, "infrastructure", &FleetSettings::m_infrastructure);
   compare(restart, "limits", &FleetSettings::m_responseLimits);
   if (restart.empty() || restart.back() != "limits") {
     compare(restart, "limits", &FleetSettings::m_requestLimits);
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/infrastructure_settings.hpp"
 #include "auburntrestle/fleet/memory_limits.hpp"
 #include "auburntrestle/observe/log.hpp"
 
@@ -58,6 +59,8 @@
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   /** Limits on large requests of callers. */
   RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
+  /** The API of the infrastructure; store only. */
+  InfrastructureSettings m_infrastructure;
 };
 
 /** One fault of a settings file. */
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -72,7 +72,8 @@
            aSpec.m_model,
            aSpec.m_minVersion,
            aSpec.m_targetGroups,
-           aSpec.m_items);
+           aSpec.m_items,
+           Appended{ aSpec.m_account });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::ItemResult> auto& aResult)
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -98,6 +98,8 @@
   /** Number of complete groups that the trainer waits for; 0 for all. */
   std::uint32_t m_targetGroups = 0;
   std::vector<JobItem> m_items;
+  /** The client account that submitted the job; empty if none. */
+  AccountName m_account = {};
 };
 
 /** The final state of an item. */
--- a/src/auburntrestle/fleet/route_configuration.hpp
+++ b/src/auburntrestle/fleet/route_configuration.hpp
@@ -3,6 +3,7 @@
 
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
+#include "auburntrestle/fleet/client_account.hpp"
 
 #include <tl/expected.hpp>
 
@@ -66,6 +67,8 @@
   Duration m_itemLifetime{};
   /** Batch jobs: one weight version must generate all events of an item. */
   bool m_singleVersion = false;
+  /** Requests need no API key, also if there are client accounts. */
+  bool m_public = false;
 };
 
 /** The capacity and models of an engine of a service. */
@@ -78,6 +81,22 @@
   std::vector<ModelName> m_models;
 };
 
+/** How the number of a service's backend servers may be changed. */
+struct ScalingLimits
+{
+  /** Limits for each data centre, on-demand and preemptible servers together.
+   */
+  std::uint32_t m_minServers = 0;
+  std::uint32_t m_maxServers = 0;
+  /** Time from an order until a new server serves. */
+  Duration m_bootTime{};
+  /** Price of a preemptible server relative to an on-demand one; absent if
+   * there are none. */
+  std::optional<double> m_preemptiblePrice;
+  /** Price of a server's second by data centre; servers run only there. */
+  std::map<DataCentreId, double> m_prices;
+};
+
 /** A group of interchangeable backend servers. */
 struct Service
 {
@@ -86,6 +105,8 @@
   std::uint32_t m_maxConnections = 0;
   /** Present for services of model engines. */
   std::optional<EngineSpec> m_engine;
+  /** Present if servers may be ordered. */
+  std::optional<ScalingLimits> m_scaling;
 };
 
 /** Limits on the requests and connections of callers. */
@@ -104,6 +125,8 @@
   std::vector<Route> m_routes;
   std::vector<Service> m_services;
   CallerLimits m_limits;
+  /** If there are any, requests of routes that are not public need a key. */
+  std::vector<ClientAccount> m_accounts;
 };
 
 /** Why a route configuration is invalid. */
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -320,6 +320,7 @@
   spec->m_model = given.m_model;
   spec->m_minVersion = given.m_minVersion;
   spec->m_targetGroups = given.m_targetGroups;
+  spec->m_account = given.m_account;
   spec->m_items.reserve(given.m_items.size());
   for (const auto& item : given.m_items) {
     auto stored = StoreBodies(item);
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -33,6 +33,13 @@
 received_mb = 24
 request_bodies_mb = 16
 replicated_jobs_mb = 12
+[infrastructure]
+address = "10.0.9.1:8022"
+duties = ["usage_report"]
+calls_per_second = 50.0
+usage_window_seconds = 5
+usage_due_seconds = 10
+checks_fencing = false
 )";
 
 TEST(FleetSettingsTest, ReadsAllKeysOfAStore)
@@ -50,6 +57,12 @@
   constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
   EXPECT_EQ(settings->m_responseLimits,
             (ResponseLimits{ 8 * kMebibyte, 24 * kMebibyte }));
+  const auto& infrastructure = settings->m_infrastructure;
+  EXPECT_EQ(infrastructure.m_address, "10.0.9.1:8022");
+  EXPECT_TRUE(infrastructure.m_reportsUsage);
+  EXPECT_FALSE(infrastructure.m_ordersServers);
+  EXPECT_EQ(infrastructure.m_callsPerSecond, 50.0);
+  EXPECT_FALSE(infrastructure.m_checksFencing);
 }
 
 struct FaultCase
@@ -95,6 +108,18 @@
     FaultCase{ "replicated_jobs_mb = 12",
                "replicated_jobs_mb = \"12\"",
                "limits.replicated_jobs_mb" },
+    FaultCase{ "10.0.9.1:8022", "nowhere", "infrastructure.address" },
+    FaultCase{ "usage_report", "usage", "infrastructure.duties" },
+    FaultCase{ "[\"usage_report\"]", "[5]", "infrastructure.duties" },
+    FaultCase{ "calls_per_second = 50.0",
+               "calls_per_second = 0",
+               "infrastructure.calls_per_second" },
+    FaultCase{ "window_seconds = 5",
+               "window_seconds = 0",
+               "infrastructure.usage_window_seconds" },
+    FaultCase{ "checks_fencing = false",
+               "checks_fencing = 1",
+               "infrastructure.checks_fencing" },
     FaultCase{ "[listen]", "[listen", "" }));
 
 TEST(FleetSettingsTest, ReportsAllFaultsAtOnce)
@@ -147,6 +172,7 @@
     ChangeCase{ "2500", "2600", "", "timing.lease_ms" },
     ChangeCase{ "\"/data\"", "\"/other\"", "", "log.data_folder" },
     ChangeCase{ "losses = 2", "losses = 1", "", "log.tolerated_losses" },
+    ChangeCase{ "due_seconds = 10", "due_seconds = 11", "", "infrastructure" },
     ChangeCase{ "received_mb = 24", "received_mb = 32", "", "limits" },
     ChangeCase{ "request_bodies_mb = 16",
                 "request_bodies_mb = 17",
