Show that crowds of clients fill the memory and descriptors of a process

What is held for a connection is bounded, what is held for all of them is not, and no address but that of callers has a limit on bodies at all. Change: 800 clients that stop just short of the end of a request, at each address of both roles, with machines of 48 MiB and 512 descriptors in the test's settings.

--- a/test/platform/instance_files.hpp
+++ b/test/platform/instance_files.hpp
@@ -67,6 +67,9 @@
   /** Address for callers of an entry instance. */
   std::string m_callers;
   std::string m_readiness;
+  std::string m_metrics;
+  /** Further tables at the end of the file. */
+  std::string m_furtherTables;
 
   /** @return the text of the file. @param aSeeds peer addresses of stores. */
   [[nodiscard]] std::string Text(const std::vector<std::string>& aSeeds) const
@@ -86,14 +89,18 @@
     if (!m_peersBind.empty()) {
       text += "peers_bind = \"" + m_peersBind + "\"\n";
     }
+    if (!m_metrics.empty()) {
+      text += "metrics = \"" + m_metrics + "\"\n";
+    }
     if (m_control.empty()) {
       return text + "callers = \"" + m_callers + "\"\nreadiness = \"" +
-             m_readiness + "\"\n";
+             m_readiness + "\"\n" + m_furtherTables;
     }
     return text + "control = \"" + m_control + "\"\n[log]\ndata_folder = \"" +
            m_dataFolder.string() +
            "\"\nbootstrap = " + (m_bootstrap ? "true" : "false") +
-           "\ntolerated_losses = " + std::to_string(m_toleratedLosses) + "\n";
+           "\ntolerated_losses = " + std::to_string(m_toleratedLosses) + "\n" +
+           m_furtherTables;
   }
 
   /** Writes the file into a folder and starts the instance. */
--- /dev/null
+++ b/test/platform/untrusted_clients_test.cpp
@@ -0,0 +1,369 @@
+#include "auburntrestle/http/client.hpp"
+#include "platform/instance_files.hpp"
+#include "platform/names.hpp"
+#include "platform/sampler.hpp"
+#include "support/process.hpp"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburntrestle::platform::test {
+namespace {
+
+using auburntrestle::test::Process;
+
+constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
+/** The memory of each machine in these tests, and its descriptors. */
+constexpr std::size_t kMemoryMebibytes = 48;
+constexpr std::size_t kDescriptors = 512;
+/** Clients of a crowd. */
+constexpr int kCrowd = 800;
+constexpr auto kHost = "app.example";
+
+/** The address that a crowd connects to. */
+enum class Target : std::uint8_t
+{
+  Callers,
+  Readiness,
+  EntryMetrics,
+  Control,
+  StoreMetrics,
+};
+
+/** What each client of a crowd sends before it stops and stays connected. */
+struct CrowdCase
+{
+  std::string m_name;
+  Target m_target{};
+  std::function<std::string()> m_bytes;
+};
+
+std::string Repeat(const std::string& aText, std::size_t aBytes)
+{
+  std::string repeated;
+  while (repeated.size() + aText.size() <= aBytes) {
+    repeated += aText;
+  }
+  return repeated;
+}
+
+std::string Head(const std::string& aFields)
+{
+  return "POST /plain/x HTTP/1.1\r\nHost: app.example\r\n" + aFields;
+}
+
+/** @return a head within the limit of 16,384 bytes that lacks its end. */
+std::string UnfinishedHead(const std::string& aLine)
+{
+  constexpr std::size_t kFieldBytes = 16'200;
+  return Head(Repeat(aLine, kFieldBytes));
+}
+
+/** @return a request whose body lacks its last byte. */
+std::string UnfinishedBody(std::size_t aBytes)
+{
+  return Head("Content-Length: " + std::to_string(aBytes) + "\r\n\r\n") +
+         std::string(aBytes - 1, 'x');
+}
+
+/** @return a request in chunks that lacks its last chunk. */
+std::string UnfinishedChunks(const std::string& aChunk, std::size_t aBytes)
+{
+  return Head("Transfer-Encoding: chunked\r\n\r\n") + Repeat(aChunk, aBytes);
+}
+
+/** @return a chunk that lacks its last byte. */
+std::string UnfinishedChunk(std::size_t aBytes)
+{
+  std::ostringstream size;
+  size << std::hex << aBytes;
+  return Head("Transfer-Encoding: chunked\r\n\r\n") + size.str() + "\r\n" +
+         std::string(aBytes - 1, 'x');
+}
+
+std::string ShortLines()
+{
+  return UnfinishedHead("a:\r\n");
+}
+
+std::string FoldedLines()
+{
+  return UnfinishedHead("a: b\r\n c\r\n");
+}
+
+std::string SmallBody()
+{
+  constexpr std::size_t kBytes = 65'000;
+  return UnfinishedBody(kBytes);
+}
+
+std::string LargeBody()
+{
+  constexpr std::size_t kBytes = 900'000;
+  return UnfinishedBody(kBytes);
+}
+
+std::string SmallChunks()
+{
+  constexpr std::size_t kBytes = 240'000;
+  return UnfinishedChunks("1\r\nx\r\n", kBytes);
+}
+
+std::string ExtendedChunks()
+{
+  constexpr std::size_t kBytes = 240'000;
+  return UnfinishedChunks("4;extension=value\r\nxxxx\r\n", kBytes);
+}
+
+std::string LargeChunk()
+{
+  constexpr std::size_t kBytes = 900'000;
+  return UnfinishedChunk(kBytes);
+}
+
+std::string Trailers()
+{
+  constexpr std::size_t kBytes = 60'000;
+  return Head("Transfer-Encoding: chunked\r\n\r\n0\r\n") +
+         Repeat("a:\r\n", kBytes);
+}
+
+/** Requests that are sent ahead, by a client that never reads. */
+std::string Pipelined()
+{
+  constexpr std::size_t kBytes = 120'000;
+  return Repeat("GET /unknown/x HTTP/1.1\r\nHost: app.example\r\n\r\n", kBytes);
+}
+
+std::string Nothing()
+{
+  return {};
+}
+
+/** A store and an entry instance as real processes on small machines, and a
+ * crowd of clients at one of their addresses. */
+class UntrustedClientsTest : public testing::TestWithParam<CrowdCase>
+{
+protected:
+  UntrustedClientsTest()
+    : m_folder(std::filesystem::temp_directory_path() /
+               ("trestle-crowd-" + std::to_string(::getpid())))
+  {
+    std::filesystem::create_directories(m_folder);
+    InstanceFile store;
+    store.m_name = "store";
+    store.m_peers = m_ports.Address();
+    store.m_control = m_ports.Address();
+    store.m_metrics = m_ports.Address();
+    store.m_dataFolder = m_folder / "data";
+    store.m_bootstrap = true;
+    store.m_toleratedLosses = 0;
+    Start(store, store.m_peers);
+    InstanceFile entry;
+    entry.m_name = "entry";
+    entry.m_peers = m_ports.Address();
+    entry.m_callers = m_ports.Address();
+    entry.m_readiness = m_ports.Address();
+    entry.m_metrics = m_ports.Address();
+    Start(entry, store.m_peers);
+    m_addresses = { { Target::Callers, entry.m_callers },
+                    { Target::Readiness, entry.m_readiness },
+                    { Target::EntryMetrics, entry.m_metrics },
+                    { Target::Control, store.m_control },
+                    { Target::StoreMetrics, store.m_metrics } };
+  }
+
+  ~UntrustedClientsTest() override
+  {
+    m_processes.clear();
+    std::filesystem::remove_all(m_folder);
+  }
+
+  void Start(InstanceFile aFile, const std::string& aSeed)
+  {
+    aFile.m_furtherTables =
+      "[limits]\nmemory_mb = " + std::to_string(kMemoryMebibytes) +
+      "\ndescriptors = " + std::to_string(kDescriptors) +
+      "\nresponse_mb = 4\nreceived_mb = 8\nrequest_bodies_mb = 8\n"
+      "replicated_jobs_mb = 8\n";
+    m_processes.insert_or_assign(aFile.m_name,
+                                 aFile.Start(m_folder, { aSeed }));
+  }
+
+  /** @return the status of an ordinary request, or nothing. */
+  std::optional<int> Send(Target aTarget,
+                          const std::string& aMethod,
+                          const std::string& aPath,
+                          const std::string& aBody = {})
+  {
+    http::Request request;
+    request.m_method = aMethod;
+    request.m_target = aPath;
+    request.m_headers.Add("Host", kHost);
+    request.m_headers.Add(names::kRequestId, "r" + std::to_string(++m_sent));
+    request.m_headers.Add(names::kTimeLeftMs, "2000");
+    request.m_body = aBody;
+    http::Client client(m_loop, {});
+    std::optional<http::FetchResult> response;
+    std::ignore = http::Fetch(
+      client, m_addresses.at(aTarget), request, {}, [&](http::FetchResult a) {
+        response = std::move(a);
+      });
+    while (!response) {
+      m_loop.Context().run_one();
+    }
+    return *response ? std::optional((*response)->m_status) : std::nullopt;
+  }
+
+  /** Sends a request again and again until it is answered with 200. */
+  void SendUntilServed(Target aTarget,
+                       const std::string& aMethod,
+                       const std::string& aPath,
+                       const std::string& aBody = {})
+  {
+    while (Send(aTarget, aMethod, aPath, aBody) != 200) {
+      bool waited = false;
+      m_loop.After(std::chrono::milliseconds(20), [&] { waited = true; });
+      while (!waited) {
+        m_loop.Context().run_one();
+      }
+    }
+  }
+
+  void SetUpService()
+  {
+    SendUntilServed(
+      Target::Control,
+      "PUT",
+      "/auburntrestle/config",
+      R"({"version":1,"routes":[{"name":"plain","host":"app.example",
+        "path_prefix":"/plain/","route_type":"idempotent","timeout_ms":2000,
+        "latency_target_ms":150,"priority":1,"service":"samplers",
+        "max_attempts":2}],"services":[{"name":"samplers",
+        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false}],
+        "limits":{"header_bytes":16384,"body_bytes":1000000,
+        "header_ms":3000,"idle_timeout_ms":15000}})");
+    SendUntilServed(Target::Control,
+                    "PUT",
+                    "/auburntrestle/instances/i-1",
+                    m_sampler.Heartbeat("samplers", "ready"));
+    SendUntilServed(Target::Readiness, "GET", "/auburntrestle/ready");
+    SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
+  }
+
+  /** Connects a client, which sends its bytes as far as they are taken. */
+  void Connect(const std::string& aAddress, const std::string& aBytes)
+  {
+    const auto colon = aAddress.find(':');
+    const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(aAddress.substr(0, colon)),
+      static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))));
+    auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop.Context());
+    asio::error_code error;
+    socket->connect(endpoint, error);
+    if (error) {
+      return;
+    }
+    m_crowd.push_back(socket);
+    auto bytes = std::make_shared<std::string>(aBytes);
+    asio::async_write(*socket,
+                      asio::buffer(*bytes),
+                      [socket, bytes](const asio::error_code&, std::size_t) {});
+    m_loop.Context().poll();
+  }
+
+  /** Sends ordinary requests to all addresses, which also gives the processes
+   * the time to read what the crowd has sent. */
+  void SendOrdinaryRequests()
+  {
+    SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
+    SendUntilServed(Target::Readiness, "GET", "/auburntrestle/ready");
+    SendUntilServed(Target::EntryMetrics, "GET", "/metrics");
+    SendUntilServed(Target::Control, "GET", "/auburntrestle/config");
+    SendUntilServed(Target::StoreMetrics, "GET", "/metrics");
+  }
+
+  event_loop::EventLoop m_loop;
+  Sampler m_sampler{ m_loop, "i-1", "m" };
+  PortSource m_ports;
+  std::filesystem::path m_folder;
+  std::map<std::string, Process> m_processes;
+  std::map<Target, std::string> m_addresses;
+  std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_crowd;
+  int m_sent = 0;
+};
+
+// Guards against clients that fill the memory or use up the descriptors of a
+// process, each within the limits for one request: the process ended, or served
+// nobody else.
+TEST_P(UntrustedClientsTest, LeaveRoomForOthers)
+{
+  SetUpService();
+  const std::string bytes = GetParam().m_bytes();
+  for (int client = 0; client < kCrowd; ++client) {
+    Connect(m_addresses.at(GetParam().m_target), bytes);
+  }
+  constexpr int kRounds = 10;
+  for (int round = 0; round < kRounds; ++round) {
+    SendOrdinaryRequests();
+  }
+  for (const auto& [name, process] : m_processes) {
+    const std::size_t memory = process.PeakMemory();
+    const std::size_t descriptors = process.OpenDescriptors();
+    RecordProperty(name + "_peak_mib", std::to_string(memory / kMebibyte));
+    RecordProperty(name + "_descriptors", std::to_string(descriptors));
+    EXPECT_GT(memory, 0U) << name;
+    EXPECT_LE(memory, kMemoryMebibytes * kMebibyte) << name;
+    EXPECT_LE(descriptors, kDescriptors) << name;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Callers,
+  UntrustedClientsTest,
+  testing::Values(
+    CrowdCase{ "short_lines", Target::Callers, ShortLines },
+    CrowdCase{ "folded_lines", Target::Callers, FoldedLines },
+    CrowdCase{ "small_bodies", Target::Callers, SmallBody },
+    CrowdCase{ "large_bodies", Target::Callers, LargeBody },
+    CrowdCase{ "small_chunks", Target::Callers, SmallChunks },
+    CrowdCase{ "extended_chunks", Target::Callers, ExtendedChunks },
+    CrowdCase{ "large_chunks", Target::Callers, LargeChunk },
+    CrowdCase{ "trailers", Target::Callers, Trailers },
+    CrowdCase{ "pipelined", Target::Callers, Pipelined },
+    CrowdCase{ "silent", Target::Callers, Nothing }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+INSTANTIATE_TEST_SUITE_P(
+  Control,
+  UntrustedClientsTest,
+  testing::Values(CrowdCase{ "short_lines", Target::Control, ShortLines },
+                  CrowdCase{ "small_bodies", Target::Control, SmallBody },
+                  CrowdCase{ "large_bodies", Target::Control, LargeBody },
+                  CrowdCase{ "small_chunks", Target::Control, SmallChunks },
+                  CrowdCase{ "large_chunks", Target::Control, LargeChunk },
+                  CrowdCase{ "silent", Target::Control, Nothing }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+INSTANTIATE_TEST_SUITE_P(
+  Others,
+  UntrustedClientsTest,
+  testing::Values(
+    CrowdCase{ "readiness_bodies", Target::Readiness, LargeBody },
+    CrowdCase{ "readiness_silent", Target::Readiness, Nothing },
+    CrowdCase{ "entry_metrics_lines", Target::EntryMetrics, ShortLines },
+    CrowdCase{ "store_metrics_chunks", Target::StoreMetrics, LargeChunk },
+    CrowdCase{ "store_metrics_silent", Target::StoreMetrics, Nothing }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+} // namespace
+} // namespace auburntrestle::platform::test
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -82,6 +82,20 @@
     }
   }
 
+  /** @return the number of descriptors that the program has open. */
+  [[nodiscard]] std::size_t OpenDescriptors() const
+  {
+    const std::filesystem::path folder("/proc/" + std::to_string(m_pid) +
+                                       "/fd");
+    std::error_code ignored;
+    std::size_t count = 0;
+    for (const auto& entry :
+         std::filesystem::directory_iterator(folder, ignored)) {
+      count += entry.path().empty() ? 0 : 1;
+    }
+    return count;
+  }
+
   /** Requests a graceful shutdown with SIGTERM. */
   void Terminate() { ::kill(m_pid, SIGTERM); }
 
