Report the usage of client accounts, by one holder at a time

Change: entry instances count requests by the window in which they begin, in a time that follows no jump of the clock. The leader sums the counts, makes those of a window final in the log, and then sends them until they are accepted. Each call needs a lease record in the log that is less than a third of the lease old; a new leader waits for a whole lease. The term is the fencing token.

--- a/src/auburntrestle/core/time.hpp
+++ b/src/auburntrestle/core/time.hpp
@@ -35,6 +35,28 @@
 /** A time of the monotonic clock; comparable only within this process. */
 using TimePoint = MonotonicClock::time_point;
 
+/** A monotonic clock that also counts the time for which the machine was
+ * suspended, unlike MonotonicClock. */
+struct BootClock
+{
+  // NOLINTBEGIN(readability-identifier-naming)
+  using duration = Duration;
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+  // NOLINTEND(readability-identifier-naming)
+
+  /** @return the current time. */
+  [[nodiscard]] static time_point Now() noexcept;
+};
+
+/** A time since the start of the machine; comparable only on this machine. */
+using BootTime = BootClock::time_point;
+
+/** Time since the Unix epoch. */
+using WallTime = std::chrono::duration<std::int64_t, std::milli>;
+
 } // namespace auburntrestle
 
 #endif
--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/fleet/backend_record.hpp"
 #include "auburntrestle/fleet/job.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
+#include "auburntrestle/fleet/usage.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -124,6 +125,29 @@
   std::optional<AccountName> m_account = std::nullopt;
 };
 
+/** Recorded before a holder calls the API of the infrastructure, so that the
+ * next one knows how long to wait before its own first call. */
+struct RecordDutyLease
+{
+  Term m_term;
+  /** The machine of the holder. */
+  std::string m_holder;
+};
+
+/** Closes a window of usage reports with its final counts. A window that is
+ * closed already keeps its counts. */
+struct RecordUsage
+{
+  UsageWindow m_window;
+  UsageCounts m_counts;
+};
+
+/** Records that a window was reported, or that it is not to be reported. */
+struct CompleteUsage
+{
+  UsageWindow m_window;
+};
+
 /** Removes ended jobs after their retention time. */
 struct ForgetJobs
 {
@@ -141,7 +165,10 @@
                              EndJob,
                              ForgetJobs,
                              RecordProgress,
-                             RecordOrder>;
+                             RecordOrder,
+                             RecordDutyLease,
+                             RecordUsage,
+                             CompleteUsage>;
 
 /** The result of applying a command. */
 enum class CommandResult : std::uint8_t
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -105,6 +105,9 @@
   }
   m_transport = std::move(*transport);
   m_link->SetTransport(m_transport.get());
+  if (m_options.m_infrastructure.m_reportsUsage) {
+    SetUpUsage();
+  }
   SendWatches();
   return {};
 }
@@ -156,6 +159,9 @@
   }
   if (view != nullptr) {
     HandleDirectory(*view);
+    if (aRequest.m_relay && view->m_wallTime > WallTime::zero()) {
+      m_clock.RecordPeer(*aRequest.m_relay, view->m_wallTime, BootClock::Now());
+    }
   }
   m_watches.HandleReply(aRequest, confirmed, MonotonicClock::Now());
   SendWatches();
@@ -169,6 +175,10 @@
   }
   m_routesConfirmedAt = std::max(
     m_routesConfirmedAt, MonotonicClock::Now() - aView.m_confirmationAge);
+  if (m_usage && aView.m_term > m_watch.m_term) {
+    m_usage->RecordNewLeader();
+    ScheduleUsage();
+  }
   m_watch.m_term = aView.m_term;
   if (aView.m_configuration &&
       aView.m_configuration->m_version > m_watch.m_configuration) {
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -2,12 +2,14 @@
 #define AUBURNTRESTLE_FLEET_ENTRY_SERVICE_HPP
 
 #include "auburntrestle/core/random.hpp"
+#include "auburntrestle/core/steady_wall_clock.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_chooser.hpp"
 #include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/instance_options.hpp"
 #include "auburntrestle/fleet/leader_link.hpp"
 #include "auburntrestle/fleet/request_relay.hpp"
+#include "auburntrestle/fleet/usage_recorder.hpp"
 #include "auburntrestle/fleet/watch_scheduler.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
@@ -110,6 +112,12 @@
   void AskForPermit(const RequestPermit& aRequest,
                     std::function<void(std::optional<Duration>)> aCallback);
   void ApplyConfiguration(const ConfigurationView& aView);
+  /** Starts to count the requests of accounts. */
+  void SetUpUsage();
+  void ReadTimeOfDay();
+  void ScheduleUsage();
+  /** Sends the usage counts to the leader. */
+  void SubmitUsage();
   void CountAccess(
     const tl::expected<RequestAccount, AccessError>& aAccess) const;
 
@@ -127,6 +135,14 @@
   std::optional<timer::TimerId> m_watchTimer;
   TimePoint m_routesConfirmedAt{};
   bool m_connected = false;
+  SteadyWallClock m_clock;
+  /** Absent if usage is not reported. */
+  std::optional<UsageRecorder> m_usage;
+  /** Tells apart the runs of this instance in usage counts. */
+  Incarnation m_incarnation;
+  std::uint64_t m_usageSequence = 0;
+  /** Usage counts are to be sent, or being sent. */
+  bool m_usageScheduled = false;
   std::unique_ptr<protocol::PeerTransport> m_transport;
 };
 
--- a/src/auburntrestle/fleet/instance_options.hpp
+++ b/src/auburntrestle/fleet/instance_options.hpp
@@ -4,6 +4,8 @@
 #include "auburntrestle/core/ids.hpp"
 #include "auburntrestle/core/time.hpp"
 #include "auburntrestle/fleet/backend_statement.hpp"
+#include "auburntrestle/fleet/infrastructure_protocol.hpp"
+#include "auburntrestle/fleet/infrastructure_settings.hpp"
 #include "auburntrestle/fleet/memory_limits.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
 #include "auburntrestle/http/client.hpp"
@@ -42,6 +44,7 @@
   BackendStatementReader m_readStatement;
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
+  InfrastructureSettings m_infrastructure = {};
   std::shared_ptr<observe::Instruments> m_instruments =
     std::make_shared<observe::Instruments>();
 };
@@ -57,8 +60,10 @@
   /** An ended job stays readable for at least this long after its submission.
    */
   Duration m_jobRetention = std::chrono::seconds(120);
-  /** Minimum time between the orders of two successive leaders. */
+  /** Minimum time between the orders, or the calls to the infrastructure, of
+   * two successive leaders. */
   Duration m_leaseTime = std::chrono::seconds(3);
+  InfrastructureProtocol m_infrastructureProtocol = {};
 };
 
 /** Why an instance could not start. */
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -233,7 +233,6 @@
   } else {
     aSettings.m_toleratedLosses = static_cast<std::size_t>(losses);
   }
-  ReadInfrastructure(aReader, aSettings.m_infrastructure);
 }
 
 } // namespace
@@ -289,6 +288,7 @@
   RequestLimits& requests = settings.m_requestLimits;
   reader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
   reader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
+  ReadInfrastructure(reader, settings.m_infrastructure);
   if (settings.m_role == InstanceRole::Store) {
     ReadStore(reader, settings);
   } else {
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -59,7 +59,7 @@
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   /** Limits on large requests of callers. */
   RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
-  /** The API of the infrastructure; store only. */
+  /** The API of the infrastructure. */
   InfrastructureSettings m_infrastructure;
 };
 
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -219,6 +219,39 @@
     aQuery.m_backend.m_id, aQuery.m_backend.m_incarnation, aQuery.m_limit);
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::SubmitUsage> auto& aQuery)
+{
+  aArchive(aQuery.m_instance,
+           aQuery.m_incarnation,
+           aQuery.m_sequence,
+           aQuery.m_counts);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::UsageView> auto& aView)
+{
+  aArchive(aView.m_firstOpen);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::RecordDutyLease> auto& aCommand)
+{
+  aArchive(aCommand.m_term, aCommand.m_holder);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::RecordUsage> auto& aCommand)
+{
+  aArchive(aCommand.m_window, aCommand.m_counts);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::CompleteUsage> auto& aCommand)
+{
+  aArchive(aCommand.m_window);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::UsageState> auto& aState)
+{
+  aArchive(aState.m_firstOpen, aState.m_unreported);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::PermitView> auto& aView)
 {
   aArchive(aView.m_granted, aView.m_retryAfter);
@@ -268,7 +301,8 @@
            aView.m_members,
            Appended{ aView.m_newestConfiguration },
            Appended{ aView.m_confirmationAge },
-           Appended{ aView.m_relays });
+           Appended{ aView.m_relays },
+           Appended{ aView.m_wallTime });
 }
 
 } // namespace auburntrestle::protocol
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -31,9 +31,6 @@
 /** The score of an item, as the reward model states it. */
 using Score = StrongType<struct ScoreTag, std::string>;
 
-/** Milliseconds since the Unix epoch. */
-using WallTime = std::chrono::duration<std::int64_t, std::milli>;
-
 /** @return the current time of the system clock. */
 [[nodiscard]] inline WallTime WallNow()
 {
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -6,6 +6,7 @@
 #include "auburntrestle/fleet/commands.hpp"
 #include "auburntrestle/fleet/job.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
+#include "auburntrestle/fleet/usage.hpp"
 #include "auburntrestle/protocol/frame.hpp"
 
 #include <cstdint>
@@ -103,12 +104,26 @@
   RequestRate m_limit;
 };
 
+/** The usage counts of an entry instance, which replace those that the same run
+ * of it sent before; the reply is a UsageView. */
+struct SubmitUsage
+{
+  InstanceId m_instance;
+  /** Tells apart the runs of the instance. */
+  Incarnation m_incarnation;
+  /** Increases with each submission of a run. */
+  std::uint64_t m_sequence = 0;
+  /** The counts of all windows that are open as far as the instance knows. */
+  UsageByWindow m_counts;
+};
+
 using Query = std::variant<ReadJob,
                            ReadItem,
                            ReadConfiguration,
                            ReadRetirement,
                            Watch,
-                           RequestPermit>;
+                           RequestPermit,
+                           SubmitUsage>;
 
 /** The reply to a proposed command. */
 struct CommandReply
@@ -178,6 +193,8 @@
   /** Age of the leader's confirmation that nothing was newer. */
   Duration m_confirmationAge = Duration::zero();
   std::vector<Relay> m_relays = {};
+  /** The replying instance's estimate of true time; 0 if it has none. */
+  WallTime m_wallTime = WallTime::zero();
 };
 
 /** Whether a request may be sent to a backend server. */
@@ -188,13 +205,21 @@
   Duration m_retryAfter{};
 };
 
+/** How far usage has been reported. */
+struct UsageView
+{
+  /** The counts of earlier windows are final. */
+  UsageWindow m_firstOpen;
+};
+
 using ReplyBody = std::variant<CommandReply,
                                JobView,
                                ItemView,
                                ConfigurationView,
                                RetirementView,
                                DirectoryView,
-                               PermitView>;
+                               PermitView,
+                               UsageView>;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -25,11 +25,13 @@
   event_loop::EventLoop& aLoop,
   Replica& aReplica,
   std::function<DirectorySource()> aGetSource,
-  std::function<PermitView(const RequestPermit&)> aGrantPermit)
+  std::function<PermitView(const RequestPermit&)> aGrantPermit,
+  std::function<UsageView(const SubmitUsage&)> aSubmitUsage)
   : m_loop(aLoop)
   , m_replica(aReplica)
   , m_getSource(std::move(aGetSource))
   , m_grantPermit(std::move(aGrantPermit))
+  , m_submitUsage(std::move(aSubmitUsage))
 {
 }
 
@@ -130,6 +132,7 @@
   view.m_confirmationAge = source.m_confirmationAge;
   view.m_directory = state.Directory();
   view.m_newestConfiguration = state.Configuration().m_version;
+  view.m_wallTime = source.m_wallTime;
   if (aQuery.m_versionsOnly) {
     return view;
   }
@@ -162,6 +165,11 @@
   return ReplyBody(m_grantPermit(aQuery));
 }
 
+std::optional<ReplyBody> QueryServer::TryRead(const SubmitUsage& aQuery) const
+{
+  return ReplyBody(m_submitUsage(aQuery));
+}
+
 void QueryServer::ConfirmAndAnswer(
   const Query& aQuery,
   std::function<void(std::optional<ReplyBody>)> aCallback)
@@ -195,7 +203,8 @@
           [&](const Watch& aWatch) {
             callback(ReplyBody(MakeDirectoryView(aWatch)));
           },
-          [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); } },
+          [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); },
+          [&](const SubmitUsage& aUsage) { callback(TryRead(aUsage)); } },
         aQuery);
     });
 }
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -18,6 +18,8 @@
   Term m_term;
   Duration m_confirmationAge{};
   std::vector<Relay> m_relays;
+  /** The instance's estimate of true time. */
+  WallTime m_wallTime{};
 };
 
 /**
@@ -37,11 +39,13 @@
    * @param aReplica must outlive the server.
    * @param aGetSource provides the source of a view at the time of its reply.
    * @param aGrantPermit decides on a request for a permit.
+   * @param aSubmitUsage takes over the usage counts of an entry instance.
    */
   QueryServer(event_loop::EventLoop& aLoop,
               Replica& aReplica,
               std::function<DirectorySource()> aGetSource,
-              std::function<PermitView(const RequestPermit&)> aGrantPermit);
+              std::function<PermitView(const RequestPermit&)> aGrantPermit,
+              std::function<UsageView(const SubmitUsage&)> aSubmitUsage);
   QueryServer(const QueryServer&) = delete;
   QueryServer& operator=(const QueryServer&) = delete;
 
@@ -79,6 +83,8 @@
   [[nodiscard]] std::optional<ReplyBody> TryRead(const Watch& aQuery) const;
   [[nodiscard]] std::optional<ReplyBody> TryRead(
     const RequestPermit& aQuery) const;
+  [[nodiscard]] std::optional<ReplyBody> TryRead(
+    const SubmitUsage& aQuery) const;
   [[nodiscard]] DirectoryView MakeDirectoryView(const Watch& aQuery) const;
   void ConfirmAndAnswer(const Query& aQuery, ReplyCallback aCallback);
   void Defer(const Query& aQuery, Duration aMaxWait, ReplyCallback aCallback);
@@ -88,6 +94,7 @@
   Replica& m_replica;
   std::function<DirectorySource()> m_getSource;
   std::function<PermitView(const RequestPermit&)> m_grantPermit;
+  std::function<UsageView(const SubmitUsage&)> m_submitUsage;
   std::list<DeferredQuery> m_deferred;
   bool m_answerScheduled = false;
 };
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -72,6 +72,10 @@
   std::string m_route;
   ConfigurationVersion m_configuration;
   ServiceName m_service;
+  /** Empty if the request has no account. */
+  AccountName m_account;
+  /** The window in which the request counts as begun, if it does. */
+  std::optional<UsageWindow> m_usageWindow;
   bool m_idempotent = false;
   std::uint32_t m_maxAttempts = 1;
   TimePoint m_deadline{};
@@ -124,6 +128,7 @@
   relayed->m_deadline = aExchange->ReceivedAt() +
                         TimeLimit(request, aRoute, m_headers.m_timeLeftMs);
   relayed->m_headers = MakeHeaders(request.m_headers, aAccount);
+  relayed->m_account = aAccount.value_or(AccountName());
   if (const auto id = request.m_headers.Find(m_headers.m_requestId)) {
     relayed->m_requestId = *id;
   }
@@ -241,6 +246,7 @@
   aRelayed->m_tried.insert(aBackend.m_id);
   aRelayed->m_running.push_back(attempt);
   m_chooser.RecordSent(aBackend.m_id);
+  CountUsage(*aRelayed);
   http::CallOptions options;
   options.m_timeout = left;
   attempt->m_call =
@@ -253,6 +259,24 @@
                    });
 }
 
+void RequestRelay::CountUsage(RelayedRequest& aRelayed) const
+{
+  const bool counts = m_usage.m_onStart && !aRelayed.m_usageWindow &&
+                      aRelayed.m_account != AccountName();
+  if (counts) {
+    aRelayed.m_usageWindow = m_usage.m_onStart(aRelayed.m_account);
+  }
+}
+
+void RequestRelay::TakeBackUsage(RelayedRequest& aRelayed) const
+{
+  const bool runs = aRelayed.m_mayHaveRun || !aRelayed.m_running.empty();
+  if (aRelayed.m_usageWindow && !runs) {
+    m_usage.m_onNotRun(aRelayed.m_account, *aRelayed.m_usageWindow);
+    aRelayed.m_usageWindow.reset();
+  }
+}
+
 void RequestRelay::StartHedge(const std::shared_ptr<RelayedRequest>& aRelayed)
 {
   if (aRelayed->m_done || aRelayed->m_awaitsPermit ||
@@ -328,6 +352,7 @@
   } else {
     m_chooser.RecordRefusal(aAttempt->m_backend, MonotonicClock::Now());
   }
+  TakeBackUsage(*aRelayed);
   RetryOrFinish(aRelayed);
 }
 
@@ -346,6 +371,7 @@
   if (aFailure != http::CallFailure::ConnectFailed) {
     aRelayed->m_mayHaveRun = true;
   }
+  TakeBackUsage(*aRelayed);
   RetryOrFinish(aRelayed);
 }
 
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace auburntrestle::fleet {
 
@@ -48,6 +49,15 @@
   double m_hedgeDelayShare = 0.45;
 };
 
+/** Counts the requests of client accounts that backend servers begin to run. */
+struct UsageHooks
+{
+  /** A request is sent to its first backend server. @return its window. */
+  std::function<UsageWindow(const AccountName&)> m_onStart;
+  /** No backend server runs the request after all. */
+  std::function<void(const AccountName&, UsageWindow)> m_onNotRun;
+};
+
 /** Asks whether a request may be sent to a backend server that stated a rate
  * limit. The callback receives nothing if it may, otherwise the time after
  * which it is worth asking again. */
@@ -72,6 +82,10 @@
                PermitFunction aRequestPermit,
                observe::Instruments& aInstruments);
 
+  /** Sets what counts the requests of accounts; without, they are not counted.
+   */
+  void SetUsageHooks(UsageHooks aHooks) { m_usage = std::move(aHooks); }
+
   /**
    * Relays a request and responds to it.
    *
@@ -125,6 +139,10 @@
   void Refuse(const std::shared_ptr<RelayedRequest>& aRelayed, int aStatus);
   void Close(const std::shared_ptr<RelayedRequest>& aRelayed);
   void RecordMetrics(const RelayedRequest& aRelayed, int aStatus);
+  /** Counts a request with its first attempt. */
+  void CountUsage(RelayedRequest& aRelayed) const;
+  /** Takes back a request that certainly does not run. */
+  void TakeBackUsage(RelayedRequest& aRelayed) const;
 
   event_loop::EventLoop& m_loop;
   BackendClient& m_client;
@@ -132,6 +150,7 @@
   RequestHeaders m_headers;
   RelayOptions m_options;
   PermitFunction m_requestPermit;
+  UsageHooks m_usage;
   observe::Instruments& m_instruments;
 };
 
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -448,6 +448,35 @@
   return CommandResult::Done;
 }
 
+CommandResult State::On(const RecordDutyLease& /*aCommand*/)
+{
+  // No state: StoreService uses the time at which it is applied.
+  return CommandResult::Done;
+}
+
+CommandResult State::On(const RecordUsage& aCommand)
+{
+  if (aCommand.m_window < m_usage.m_firstOpen) {
+    return CommandResult::Done;
+  }
+  auto& unreported = m_usage.m_unreported;
+  unreported.emplace(aCommand.m_window, aCommand.m_counts);
+  m_usage.m_firstOpen = aCommand.m_window.Next();
+  if (unreported.size() > kMaxUsageWindows) {
+    observe::LogLine(observe::LogLevel::Warning, "usage_window_dropped")
+      .Add("window", unreported.begin()->first);
+    unreported.erase(unreported.begin());
+  }
+  return CommandResult::Done;
+}
+
+CommandResult State::On(const CompleteUsage& aCommand)
+{
+  m_usage.m_unreported.erase(aCommand.m_window);
+  m_usage.m_firstOpen = std::max(m_usage.m_firstOpen, aCommand.m_window.Next());
+  return CommandResult::Done;
+}
+
 bool State::IsRetiringMachine(const std::string& aMachine) const
 {
   return m_retiring.contains(aMachine);
@@ -480,7 +509,7 @@
 std::string State::Snapshot() const
 {
   protocol::Writer writer;
-  writer.WriteArrayHeader(8);
+  writer.WriteArrayHeader(9);
   writer.Write(m_configuration);
   std::vector<BackendRecord> backends;
   for (const auto& [id, record] : m_backends) {
@@ -508,6 +537,7 @@
            job.m_ended,
            job.m_progress);
   }
+  writer.Write(m_usage);
   return writer.ExtractBytes();
 }
 
@@ -573,6 +603,10 @@
     }
   }
   reader.LeaveArray();
+  if (reader.HasMoreElements()) {
+    // Snapshots of earlier builds lack it.
+    reader.Read(state.m_usage);
+  }
   reader.LeaveArray();
   if (auto result = reader.Result(); !result) {
     return tl::unexpected(std::move(result).error());
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -75,6 +75,7 @@
   {
     return m_weights;
   }
+  [[nodiscard]] const UsageState& Usage() const noexcept { return m_usage; }
   [[nodiscard]] const std::map<InstanceId, MemberRecord>& Members()
     const noexcept
   {
@@ -123,6 +124,9 @@
   CommandResult On(const ForgetJobs& aCommand);
   CommandResult On(const RecordProgress& aCommand);
   CommandResult On(const RecordOrder& aCommand);
+  CommandResult On(const RecordDutyLease& aCommand);
+  CommandResult On(const RecordUsage& aCommand);
+  CommandResult On(const CompleteUsage& aCommand);
   Job& AddJob(std::shared_ptr<const JobSpec> aSpec, WallTime aAcceptedAt);
   /** @return a copy of an item whose large bodies are in the output store. */
   [[nodiscard]] tl::expected<JobItem, OutputStoreError> StoreBodies(
@@ -157,6 +161,7 @@
   std::set<std::string> m_retiring;
   std::unordered_map<JobId, Job> m_jobs;
   std::deque<JobId> m_jobOrder;
+  UsageState m_usage;
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -93,7 +93,10 @@
     m_loop,
     *m_replica,
     [this] { return GetDirectorySource(); },
-    [this](const RequestPermit& aRequest) { return GrantPermit(aRequest); });
+    [this](const RequestPermit& aRequest) { return GrantPermit(aRequest); },
+    [this](const fleet::SubmitUsage& aSubmission) {
+      return SubmitUsage(aSubmission);
+    });
   m_client = std::make_unique<BackendClient>(
     m_loop,
     MakeClientOptions(m_options.m_responseLimits),
@@ -143,6 +146,7 @@
     *m_options.m_instruments,
     std::random_device()());
   m_engines->SetChangeCallback([this] { m_runner->Dispatch(); });
+  SetUpDuties();
   m_link = std::make_unique<LeaderLink>(
     m_loop, m_options.m_self, m_options.m_seeds, MakeLocalLeader());
   auto transport = StartPeerTransport(m_options, MakePeerHandlers());
@@ -198,6 +202,7 @@
 
 void StoreService::AnnounceSelf()
 {
+  m_clock.RecordOwn(WallNow(), BootClock::Now());
   const auto& members = m_replica->GetState().Members();
   const auto found = members.find(m_options.m_self);
   if (found == members.end() ||
@@ -415,6 +420,13 @@
       },
       [](const RecordProgress&) {},
       [this](const RecordOrder&) { m_lastOrderAt = MonotonicClock::Now(); },
+      [this](const RecordDutyLease&) {
+        if (m_duties) {
+          m_duties->RecordLeaseApplied();
+        }
+      },
+      [](const RecordUsage&) {},
+      [](const CompleteUsage&) {},
       [](const ForgetJobs& aForgotten) {
         LogLine(LogLevel::Info, "jobs_forgotten")
           .Add("jobs", aForgotten.m_jobs.size());
@@ -450,6 +462,9 @@
     observe::gauges::kConfigurationVersion,
     static_cast<double>(stored.m_version.Get()));
   m_routes = std::make_shared<const RouteTable>(std::move(*table));
+  if (m_usage) {
+    m_usage->SetHasAccounts(!m_routes->Accounts().IsEmpty());
+  }
   if (m_replica->IsLeading()) {
     UpdateBackends();
     m_runner->SetRoutes(m_routes);
@@ -475,6 +490,7 @@
   if (!aIsLeading) {
     m_runner->Stop();
     m_engines->Stop();
+    StopDuties();
     m_queries->RefuseDeferred();
     return;
   }
@@ -485,6 +501,7 @@
   m_engines->SetNewest(state.Weights());
   m_runner->Start(state, m_routes);
   UpdateBackends();
+  StartDuties();
 }
 
 void StoreService::ForgetExpiredJobs()
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNTRESTLE_FLEET_STORE_SERVICE_HPP
 #define AUBURNTRESTLE_FLEET_STORE_SERVICE_HPP
 
+#include "auburntrestle/core/steady_wall_clock.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/backend_client.hpp"
 #include "auburntrestle/fleet/directory_confirmation.hpp"
@@ -11,6 +12,7 @@
 #include "auburntrestle/fleet/leader_notices.hpp"
 #include "auburntrestle/fleet/query_server.hpp"
 #include "auburntrestle/fleet/replica.hpp"
+#include "auburntrestle/fleet/usage_service.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <tl/expected.hpp>
@@ -106,6 +108,14 @@
   /** @return the leader known to the replica, or named by a recent notice. */
   [[nodiscard]] std::optional<InstanceId> KnownLeader() const;
 
+  /** Sets up the duties that the settings name. */
+  void SetUpDuties();
+  void StartDuties();
+  void StopDuties();
+  /** Takes over the usage counts of an entry instance; to be called on the
+   * leader. */
+  [[nodiscard]] UsageView SubmitUsage(const fleet::SubmitUsage& aSubmission);
+
   /** Decides on another instance's request to a backend server with a rate
    * limit; to be called on the leader. */
   [[nodiscard]] PermitView GrantPermit(const RequestPermit& aRequest);
@@ -152,6 +162,8 @@
   // Watches.
   /** Asks the leader whether the state of this member is up to date. */
   void ConfirmDirectory();
+  /** Records the leader's estimate of true time. */
+  void RecordPeerTime(const DirectoryView& aView);
   [[nodiscard]] DirectoryVersions OwnVersions() const;
   /** @return the age of the leader's last confirmation, if there was one. */
   [[nodiscard]] std::optional<Duration> ConfirmationAge();
@@ -181,6 +193,11 @@
   std::unique_ptr<EnginePool> m_engines;
   std::unique_ptr<RewardCaller> m_rewards;
   std::unique_ptr<JobRunner> m_runner;
+  SteadyWallClock m_clock;
+  /** Null if there is no API of the infrastructure. */
+  std::unique_ptr<DutyCaller> m_duties;
+  /** Null if usage is not reported. */
+  std::unique_ptr<UsageService> m_usage;
   std::shared_ptr<const RouteTable> m_routes;
   LeaderNotices m_notices;
   DirectoryConfirmation m_confirmation;
--- a/src/auburntrestle/fleet/store_service_relay.cpp
+++ b/src/auburntrestle/fleet/store_service_relay.cpp
@@ -49,6 +49,7 @@
           askedAt,
           view->m_term,
           { view->m_newestConfiguration, view->m_directory });
+        RecordPeerTime(*view);
       }
       // A state that is behind is asked about again after it had time to apply
       // what it lacks.
@@ -70,9 +71,18 @@
                      : std::nullopt;
 }
 
+void StoreService::RecordPeerTime(const DirectoryView& aView)
+{
+  const auto leader = m_replica->Leader();
+  if (leader && aView.m_wallTime > WallTime::zero()) {
+    m_clock.RecordPeer(*leader, aView.m_wallTime, BootClock::Now());
+  }
+}
+
 DirectorySource StoreService::GetDirectorySource()
 {
   DirectorySource source;
+  source.m_wallTime = m_clock.At(BootClock::Now());
   const bool leads = m_replica->IsLeading();
   source.m_term = leads ? m_replica->GetTerm() : m_confirmation.LeaderTerm();
   source.m_confirmationAge =
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -343,6 +343,38 @@
   EXPECT_TRUE(job->IsVisibleTo(std::nullopt));
 }
 
+// Guards against two different reports of one window, also after a restart.
+TEST_F(StateTest, CountsOfAClosedWindowAreFinal)
+{
+  const AccountName account("a");
+  EXPECT_EQ(m_state.Usage().m_firstOpen, UsageWindow());
+  Apply(CompleteUsage{ UsageWindow(6) });
+  EXPECT_EQ(m_state.Usage().m_firstOpen, UsageWindow(7));
+  Apply(RecordUsage{ UsageWindow(7), { { account, 2 } } });
+  Apply(RecordUsage{ UsageWindow(7), { { account, 3 } } });
+  Apply(RecordUsage{ UsageWindow(8), {} });
+  m_state = *State::Restore(m_state.Snapshot(), *m_outputs);
+  const UsageByWindow expected{ { UsageWindow(7), { { account, 2 } } },
+                                { UsageWindow(8), {} } };
+  EXPECT_EQ(m_state.Usage().m_unreported, expected);
+  EXPECT_EQ(m_state.Usage().m_firstOpen, UsageWindow(9));
+  Apply(CompleteUsage{ UsageWindow(7) });
+  Apply(RecordUsage{ UsageWindow(7), { { account, 4 } } });
+  EXPECT_EQ(m_state.Usage().m_unreported.size(), 1U);
+}
+
+// Guards against unreported windows without end while the API is down.
+TEST_F(StateTest, KeepsTheNewestUnreportedWindows)
+{
+  constexpr std::uint64_t kWindows = kMaxUsageWindows + 3;
+  for (std::uint64_t window = 1; window <= kWindows; ++window) {
+    Apply(RecordUsage{ UsageWindow(window), {} });
+  }
+  const auto& unreported = m_state.Usage().m_unreported;
+  EXPECT_EQ(unreported.size(), kMaxUsageWindows);
+  EXPECT_EQ(unreported.begin()->first, UsageWindow(4));
+}
+
 // Guards against a job that was submitted without an account and that nobody
 // can read once the configuration has accounts.
 TEST_F(StateTest, AJobWithoutAccountIsVisibleToAll)
