Let slow and idle clients give way before a process runs out of memory

Cause: what a connection holds was bounded, what all of them hold was not. Each had 16 KiB of buffer; a header line of 4 bytes cost 128 bytes; bodies up to 64 KiB were not counted, chunked ones by their size and not by the space allocated for them; a refused body stayed allocated while its connection lingered; trailer fields were kept without a limit; and only the address of callers had a limit on large bodies. Change: ServerResources accounts for the memory and the connections of all servers of a process. Requests and readers that stall give way first, then idle connections; otherwise the newcomer is refused, before it is handled. A quarter of the memory is kept for small requests. Limits follow from the memory and descriptors of the machine.

--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -87,6 +87,19 @@
     }
   }
 
+  /** Reads a number of things, at least 16. */
+  void Count(std::string_view aKey, std::size_t& aValue)
+  {
+    constexpr std::int64_t kMin = 16;
+    if (const auto number = Get<std::int64_t>(aKey, false)) {
+      if (*number < kMin) {
+        AddFault(aKey, "at least 16");
+      } else {
+        aValue = static_cast<std::size_t>(*number);
+      }
+    }
+  }
+
   void Seconds(std::string_view aKey, Duration& aValue)
   {
     constexpr double kMax = 86400;
@@ -177,6 +190,31 @@
   std::vector<SettingsFault> m_faults;
 };
 
+/** Reads the limits, whose defaults follow from the machine. */
+void ReadLimits(DocumentReader& aReader, FleetSettings& aSettings)
+{
+  std::size_t memory = MachineMemory();
+  aReader.Mebibytes("limits.memory_mb", memory);
+  std::size_t descriptors = MaxDescriptors();
+  aReader.Count("limits.descriptors", descriptors);
+  aSettings.m_responseLimits = ResponseLimitsFor(memory);
+  aSettings.m_requestLimits = RequestLimitsFor(memory);
+  aSettings.m_clientLimits = ClientLimitsFor(memory, descriptors);
+  ResponseLimits& responses = aSettings.m_responseLimits;
+  aReader.Mebibytes("limits.response_mb", responses.m_responseBytes);
+  aReader.Mebibytes("limits.received_mb", responses.m_receivedBytes);
+  if (responses.m_receivedBytes < responses.m_responseBytes) {
+    aReader.AddFault("limits.received_mb", "less than limits.response_mb");
+  }
+  RequestLimits& requests = aSettings.m_requestLimits;
+  aReader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
+  aReader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
+  ClientLimits& clients = aSettings.m_clientLimits;
+  aReader.Mebibytes("limits.connections_mb", clients.m_connectionBytes);
+  aReader.Count("limits.client_connections", clients.m_connections);
+  aReader.Mebibytes("limits.control_bodies_mb", clients.m_controlBodyBytes);
+}
+
 void ReadDuties(DocumentReader& aReader, InfrastructureSettings& aSettings)
 {
   constexpr auto kKey = "infrastructure.duties";
@@ -279,15 +317,7 @@
   reader.Milliseconds("timing.lease_ms", settings.m_leaseTime);
   reader.Seconds("timing.shutdown_seconds", settings.m_shutdownTime);
   reader.Seconds("timing.job_retention_seconds", settings.m_jobRetention);
-  ResponseLimits& limits = settings.m_responseLimits;
-  reader.Mebibytes("limits.response_mb", limits.m_responseBytes);
-  reader.Mebibytes("limits.received_mb", limits.m_receivedBytes);
-  if (limits.m_receivedBytes < limits.m_responseBytes) {
-    reader.AddFault("limits.received_mb", "less than limits.response_mb");
-  }
-  RequestLimits& requests = settings.m_requestLimits;
-  reader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
-  reader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
+  ReadLimits(reader, settings);
   ReadInfrastructure(reader, settings.m_infrastructure);
   if (settings.m_role == InstanceRole::Store) {
     ReadStore(reader, settings);
@@ -332,9 +362,12 @@
   compare(
     restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
   compare(restart, "infrastructure", &FleetSettings::m_infrastructure);
-  compare(restart, "limits", &FleetSettings::m_responseLimits);
-  if (restart.empty() || restart.back() != "limits") {
-    compare(restart, "limits", &FleetSettings::m_requestLimits);
+  const bool sameLimits =
+    aInForce.m_responseLimits == aChanged.m_responseLimits &&
+    aInForce.m_requestLimits == aChanged.m_requestLimits &&
+    aInForce.m_clientLimits == aChanged.m_clientLimits;
+  if (!sameLimits) {
+    restart.emplace_back("limits");
   }
   return change;
 }
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -59,6 +59,9 @@
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   /** Limits on large requests of callers. */
   RequestLimits m_requestLimits = RequestLimitsFor(MachineMemory());
+  /** Limits on the connections of clients. */
+  ClientLimits m_clientLimits =
+    ClientLimitsFor(MachineMemory(), MaxDescriptors());
   /** The API of the infrastructure. */
   InfrastructureSettings m_infrastructure;
 };
--- a/src/auburntrestle/fleet/memory_limits.cpp
+++ b/src/auburntrestle/fleet/memory_limits.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/fleet/memory_limits.hpp"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -26,11 +27,25 @@
  * and in the messages to other members. */
 constexpr double kReplicatedJobShare = 0.165;
 
+/** An ordinary connection holds 5 KiB, so that these suffice for thousands. */
+constexpr double kConnectionShare = 0.2;
+constexpr std::uint64_t kMinConnectionBytes = 4 * kMebibyte;
+constexpr std::uint64_t kMaxConnectionBytes = 64 * kMebibyte;
+/** The rest of the descriptors is for backend servers, peers and files. */
+constexpr double kClientDescriptorShare = 0.6;
+/** One configuration of the largest size fits. */
+constexpr double kControlBodyShare = 0.2;
+constexpr std::uint64_t kMaxControlBodyBytes = 34 * kMebibyte;
+
+std::uint64_t Share(std::uint64_t aWhole, double aShare)
+{
+  return static_cast<std::uint64_t>(static_cast<double>(aWhole) * aShare);
+}
+
 std::size_t ShareOf(std::uint64_t aMemoryBytes, double aShare)
 {
-  const auto bytes =
-    static_cast<std::uint64_t>(static_cast<double>(aMemoryBytes) * aShare);
-  return std::clamp(bytes, kMinRequestBytes, kMaxRequestBytes);
+  return std::clamp(
+    Share(aMemoryBytes, aShare), kMinRequestBytes, kMaxRequestBytes);
 }
 
 } // namespace
@@ -41,6 +56,28 @@
            ShareOf(aMemoryBytes, kReplicatedJobShare) };
 }
 
+ClientLimits ClientLimitsFor(std::uint64_t aMemoryBytes,
+                             std::uint64_t aDescriptors) noexcept
+{
+  ClientLimits limits;
+  limits.m_connectionBytes = std::clamp(Share(aMemoryBytes, kConnectionShare),
+                                        kMinConnectionBytes,
+                                        kMaxConnectionBytes);
+  limits.m_connections = Share(aDescriptors, kClientDescriptorShare);
+  limits.m_controlBodyBytes = std::clamp(Share(aMemoryBytes, kControlBodyShare),
+                                         kMinRequestBytes,
+                                         kMaxControlBodyBytes);
+  return limits;
+}
+
+std::uint64_t MaxDescriptors() noexcept
+{
+  rlimit limit{};
+  return ::getrlimit(RLIMIT_NOFILE, &limit) == 0
+           ? static_cast<std::uint64_t>(limit.rlim_cur)
+           : 0;
+}
+
 std::uint64_t MachineMemory() noexcept
 {
   const long pages = ::sysconf(_SC_PHYS_PAGES);
--- a/src/auburntrestle/fleet/memory_limits.hpp
+++ b/src/auburntrestle/fleet/memory_limits.hpp
@@ -30,6 +30,21 @@
   friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
 };
 
+/** Limits on what all clients of an instance may use together. */
+struct ClientLimits
+{
+  /** Bytes held for connections, without large bodies. */
+  std::size_t m_connectionBytes = 0;
+  std::size_t m_connections = 0;
+  /** Maximum bytes of all large bodies at the control address of a store. */
+  std::size_t m_controlBodyBytes = 0;
+
+  friend bool operator==(const ClientLimits&, const ClientLimits&) = default;
+};
+
+/** @return the descriptors that this process may open. */
+[[nodiscard]] std::uint64_t MaxDescriptors() noexcept;
+
 /** @return the memory of this machine in bytes, or 0 if it is unknown. */
 [[nodiscard]] std::uint64_t MachineMemory() noexcept;
 
@@ -39,6 +54,8 @@
   std::uint64_t aMemoryBytes) noexcept;
 [[nodiscard]] RequestLimits RequestLimitsFor(
   std::uint64_t aMemoryBytes) noexcept;
+[[nodiscard]] ClientLimits ClientLimitsFor(std::uint64_t aMemoryBytes,
+                                           std::uint64_t aDescriptors) noexcept;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/http/internal/parser.cpp
+++ b/src/auburntrestle/http/internal/parser.cpp
@@ -11,6 +11,20 @@
 constexpr int kContinueParsing = 0;
 constexpr int kSkipBody = 1;
 constexpr int kFirstFinalStatus = 200;
+/** Strings up to this size need no allocation. */
+constexpr std::size_t kInlineStringBytes = 15;
+/** What an allocation takes beside its contents. */
+constexpr std::size_t kAllocationBytes = 16;
+/** An entry of the list of fields, which grows by doubling. */
+constexpr std::size_t kFieldBytes = 2 * sizeof(Headers::Field);
+
+std::size_t HeapBytes(const std::string& aText)
+{
+  return aText.capacity() > kInlineStringBytes
+           ? aText.capacity() + kAllocationBytes
+           : 0;
+}
+
 /** The library's content length of a message without one. */
 constexpr std::uint64_t kNoContentLength =
   std::numeric_limits<std::uint64_t>::max();
@@ -34,6 +48,10 @@
     settings.on_header_field =
       [](http_parser* aParser, const char* aAt, size_t aSize) {
         auto& self = FromHandle(aParser);
+        if (self.m_progress != Progress::Headers) {
+          // Trailer fields are not used, and would not count as header bytes.
+          return kContinueParsing;
+        }
         if (self.m_inValue) {
           self.FinishField();
         }
@@ -43,6 +61,9 @@
     settings.on_header_value =
       [](http_parser* aParser, const char* aAt, size_t aSize) {
         auto& self = FromHandle(aParser);
+        if (self.m_progress != Progress::Headers) {
+          return kContinueParsing;
+        }
         self.m_inValue = true;
         self.m_value.append(aAt, aSize);
         return kContinueParsing;
@@ -98,8 +119,10 @@
   m_value.clear();
   m_inValue = false;
   m_target.clear();
-  m_body.clear();
+  // Also returns the memory of a large body that was not extracted.
+  m_body = std::string();
   m_headerBytes = 0;
+  m_fieldBytes = 0;
   m_keepAlive = false;
   m_noBody = false;
   m_contentLength.reset();
@@ -108,6 +131,7 @@
 void Parser::FinishField()
 {
   if (!m_field.empty()) {
+    m_fieldBytes += kFieldBytes + HeapBytes(m_field) + HeapBytes(m_value);
     m_headers.Add(std::exchange(m_field, {}), std::exchange(m_value, {}));
   }
   m_inValue = false;
@@ -144,6 +168,12 @@
   return m_contentLength;
 }
 
+std::size_t Parser::HeldHeadBytes() const noexcept
+{
+  return m_fieldBytes + HeapBytes(m_field) + HeapBytes(m_value) +
+         HeapBytes(m_target);
+}
+
 std::string Parser::Method() const
 {
   return http_method_str(static_cast<http_method>(m_parser.method));
--- a/src/auburntrestle/http/internal/parser.hpp
+++ b/src/auburntrestle/http/internal/parser.hpp
@@ -63,6 +63,14 @@
   [[nodiscard]] std::optional<std::uint64_t> ContentLength() const noexcept;
   /** Allocates space for a body at once instead of growing it. */
   void ReserveBody(std::size_t aBytes) { m_body.reserve(aBytes); }
+  /** @return the bytes allocated for the body. */
+  [[nodiscard]] std::size_t BodyCapacity() const noexcept
+  {
+    return m_body.capacity();
+  }
+  /** @return the bytes held for the message without its body. A header line of
+   * a few bytes costs many times its size. */
+  [[nodiscard]] std::size_t HeldHeadBytes() const noexcept;
   [[nodiscard]] std::size_t HeaderBytes() const noexcept
   {
     return m_headerBytes;
@@ -88,6 +96,8 @@
   std::string m_target;
   std::string m_body;
   std::size_t m_headerBytes = 0;
+  /** Bytes held for m_headers. */
+  std::size_t m_fieldBytes = 0;
   bool m_keepAlive = false;
   bool m_noBody = false;
   std::optional<std::uint64_t> m_contentLength;
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -24,9 +24,12 @@
 
 } // namespace
 
-ServerState::ServerState(event_loop::EventLoop& aLoop, RequestHandler aHandler)
+ServerState::ServerState(event_loop::EventLoop& aLoop,
+                         RequestHandler aHandler,
+                         std::shared_ptr<ServerResources> aResources)
   : m_loop(aLoop)
   , m_handler(std::move(aHandler))
+  , m_resources(std::move(aResources))
   , m_acceptor(aLoop.Context())
 {
 }
@@ -72,6 +75,17 @@
 
 void ServerConnection::Start()
 {
+  m_account = m_state->m_resources->TryAdd(
+    [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->Close();
+      }
+    },
+    MonotonicClock::Now());
+  if (!m_account || !TryHoldMemory()) {
+    Close();
+    return;
+  }
   asio::error_code ignored;
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   SetStageTimer();
@@ -84,15 +98,73 @@
     return;
   }
   m_reading = true;
+  ResizeBuffer();
   m_socket.async_read_some(
     asio::buffer(m_buffer),
     [self = shared_from_this()](const asio::error_code& aError,
                                 std::size_t aBytes) {
       self->m_reading = false;
+      self->m_filledBuffer = aBytes == self->m_buffer.size();
       self->OnRead(aError, aBytes);
     });
 }
 
+void ServerConnection::ResizeBuffer()
+{
+  const bool large = m_filledBuffer && m_inRequest;
+  const std::size_t bytes = large ? kLargeReadBytes : kReadBytes;
+  if (m_buffer.size() != bytes) {
+    m_buffer = std::vector<char>(bytes);
+  }
+}
+
+std::size_t ServerConnection::HeldBytes() const
+{
+  // The socket and the entries in the lists of connections and timers.
+  constexpr std::size_t kConnectionBytes = 1024;
+  const std::size_t body = m_heldBodyBytes > 0 ? 0 : m_parser.BodyCapacity();
+  return sizeof(ServerConnection) + kConnectionBytes + m_buffer.size() +
+         m_input.capacity() + m_parser.HeldHeadBytes() + body +
+         m_exchangeBytes + m_output.capacity() + m_nextOutput.capacity();
+}
+
+bool ServerConnection::TryHoldMemory()
+{
+  return m_closed || m_state->m_resources->TryHold(
+                       *m_account, HeldBytes(), MonotonicClock::Now());
+}
+
+ConnectionStage ServerConnection::Stage() const noexcept
+{
+  if (m_exchange) {
+    return ConnectionStage::Handling;
+  }
+  if (m_writing || m_lingering) {
+    return ConnectionStage::Sending;
+  }
+  return m_inRequest ? ConnectionStage::Receiving : ConnectionStage::Idle;
+}
+
+void ServerConnection::RecordProgress(std::size_t aReceivedBytes)
+{
+  // A client that sends a byte now and then makes none.
+  constexpr std::size_t kMinProgressBytes = 1024;
+  if (m_closed) {
+    return;
+  }
+  const ConnectionStage stage = Stage();
+  m_recentBytes += aReceivedBytes;
+  const bool isSlow = stage == ConnectionStage::Receiving && m_stage == stage &&
+                      m_recentBytes < kMinProgressBytes;
+  if (isSlow) {
+    return;
+  }
+  m_recentBytes = 0;
+  m_stage = stage;
+  m_state->m_resources->RecordProgress(
+    *m_account, stage, MonotonicClock::Now());
+}
+
 void ServerConnection::OnRead(const asio::error_code& aError,
                               std::size_t aBytes)
 {
@@ -109,6 +181,22 @@
   }
   m_input.append(m_buffer.data(), aBytes);
   ProcessInput();
+  if (m_input.empty()) {
+    m_input = std::string();
+  }
+  if (!m_lingering && !TryHoldMemory()) {
+    // A client that sends ahead while its request is handled gets no room;
+    // otherwise the request that arrives is refused.
+    if (m_exchange || m_writing) {
+      Close();
+    } else {
+      RefuseAndClose(kStatusUnavailable);
+    }
+    return;
+  }
+  if (!m_exchange && !m_writing) {
+    RecordProgress(aBytes);
+  }
   if (m_input.size() < kMaxPipelinedBytes) {
     Read();
   }
@@ -168,10 +256,13 @@
   }
   const std::uint64_t body = std::max<std::uint64_t>(
     m_parser.BodySize(), m_parser.ContentLength().value_or(0));
+  // The space for a body in chunks grows by doubling.
+  const std::uint64_t held =
+    std::max<std::uint64_t>(body, m_parser.BodyCapacity());
   if (body > m_state->m_limits.m_bodyBytes) {
     return kStatusTooLarge;
   }
-  return TryHoldBody(body) ? std::nullopt : std::optional(kStatusUnavailable);
+  return TryHoldBody(held) ? std::nullopt : std::optional(kStatusUnavailable);
 }
 
 bool ServerConnection::TryHoldBody(std::size_t aBytes)
@@ -201,6 +292,11 @@
   request.m_method = m_parser.Method();
   request.m_target = m_parser.Target();
   m_keepAlive = m_parser.KeepAlive();
+  // The request is copied for a backend server while it is handled.
+  constexpr std::size_t kCopies = 2;
+  m_exchangeBytes =
+    kCopies * (m_parser.HeldHeadBytes() +
+               (m_heldBodyBytes > 0 ? 0 : m_parser.BodyCapacity()));
   request.m_headers = m_parser.ExtractHeaders();
   request.m_body = m_parser.ExtractBody();
   m_parser.Reset();
@@ -209,7 +305,12 @@
   if (m_timer) {
     m_state->m_loop.Cancel(*std::exchange(m_timer, std::nullopt));
   }
+  if (!TryHoldMemory()) {
+    RefuseAndClose(kStatusUnavailable);
+    return;
+  }
   m_exchange = std::make_shared<Exchange>(std::move(request), weak_from_this());
+  RecordProgress();
   m_active = true;
   ++m_state->m_activeExchanges;
   m_state->m_handler(m_exchange);
@@ -218,8 +319,9 @@
 void ServerConnection::RefuseAndClose(int aStatus)
 {
   m_keepAlive = false;
-  m_input.clear();
+  m_input = std::string();
   m_parser.Reset();
+  m_exchangeBytes = 0;
   ReleaseBody();
   m_lingering = true;
   Response response{ aStatus, {}, {} };
@@ -236,6 +338,7 @@
   }
   const bool close = !m_keepAlive || m_state->m_draining;
   m_exchange.reset();
+  m_exchangeBytes = 0;
   ReleaseBody();
   Write(Serialise(aResponse, close), close);
 }
@@ -257,6 +360,10 @@
 {
   m_writing = true;
   m_output = std::exchange(m_nextOutput, {});
+  m_state->m_resources->Hold(*m_account, HeldBytes(), MonotonicClock::Now());
+  if (!m_exchange) {
+    RecordProgress();
+  }
   // A client that does not read its response is disconnected.
   SetTimer(m_state->m_limits.m_bodyTimeout);
   asio::async_write(
@@ -291,6 +398,10 @@
     SetStageTimer();
   }
   ProcessInput();
+  if (!m_exchange && !m_closed) {
+    m_state->m_resources->Hold(*m_account, HeldBytes(), MonotonicClock::Now());
+    RecordProgress();
+  }
   Read();
 }
 
@@ -382,6 +493,9 @@
   }
   m_closed = true;
   ReleaseBody();
+  if (m_account) {
+    m_state->m_resources->Remove(*std::exchange(m_account, std::nullopt));
+  }
   if (m_timer) {
     m_state->m_loop.Cancel(*std::exchange(m_timer, std::nullopt));
   }
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -6,13 +6,13 @@
 
 #include <asio/ip/tcp.hpp>
 
-#include <array>
 #include <functional>
 #include <limits>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace auburntrestle::http::internal {
 
@@ -20,13 +20,16 @@
 class ServerState : public std::enable_shared_from_this<ServerState>
 {
 public:
-  ServerState(event_loop::EventLoop& aLoop, RequestHandler aHandler);
+  ServerState(event_loop::EventLoop& aLoop,
+              RequestHandler aHandler,
+              std::shared_ptr<ServerResources> aResources);
 
   void Accept();
   void Close();
 
   event_loop::EventLoop& m_loop;
   RequestHandler m_handler;
+  std::shared_ptr<ServerResources> m_resources;
   asio::ip::tcp::acceptor m_acceptor;
   ServerLimits m_limits;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
@@ -43,6 +46,7 @@
   ServerConnection(std::shared_ptr<ServerState> aState,
                    asio::ip::tcp::socket aSocket);
 
+  /** Starts to read, unless there are too many connections. */
   void Start();
   void Respond(const Response& aResponse);
   /** Closes immediately, dropping the rest of a response. */
@@ -51,11 +55,24 @@
   void CloseIdleAfter(Duration aDelay);
 
 private:
-  static constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+  /** Most requests arrive in one read of this size. */
+  static constexpr std::size_t kReadBytes = std::size_t{ 2 } * 1024;
+  /** For the rest of a request that filled the first read. */
+  static constexpr std::size_t kLargeReadBytes = std::size_t{ 16 } * 1024;
   /** Bytes of pipelined requests buffered while one is processed. */
   static constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } * 1024;
 
   void Read();
+  /** Chooses the size of the next read. */
+  void ResizeBuffer();
+  /** @return the bytes held for this connection, without a large body. */
+  [[nodiscard]] std::size_t HeldBytes() const;
+  /** Accounts for the bytes held. @return whether there is room for them. */
+  [[nodiscard]] bool TryHoldMemory();
+  [[nodiscard]] ConnectionStage Stage() const noexcept;
+  /** Records what the connection does at present, and that it makes progress.
+   * @param aReceivedBytes bytes of a request; a few are no progress. */
+  void RecordProgress(std::size_t aReceivedBytes = 0);
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
   void ProcessInput();
   /** @return whether there is input and no earlier request is in progress: its
@@ -90,7 +107,13 @@
 
   std::shared_ptr<ServerState> m_state;
   asio::ip::tcp::socket m_socket;
-  std::array<char, kReadBytes> m_buffer{};
+  std::optional<ServerResources::Handle> m_account;
+  std::vector<char> m_buffer = std::vector<char>(kReadBytes);
+  ConnectionStage m_stage = ConnectionStage::Idle;
+  /** Bytes received since progress was recorded. */
+  std::size_t m_recentBytes = 0;
+  /** The last read filled the buffer. */
+  bool m_filledBuffer = false;
   std::string m_input;
   Parser m_parser{ MessageKind::Request };
   std::shared_ptr<Exchange> m_exchange;
@@ -101,6 +124,8 @@
   std::string m_nextOutput;
   /** Bytes of the current request's body that ServerState counts. */
   std::size_t m_heldBodyBytes = 0;
+  /** Bytes held for the request that is being handled, without a large body. */
+  std::size_t m_exchangeBytes = 0;
   bool m_reading = false;
   bool m_writing = false;
   bool m_closeAfterWrite = false;
--- a/src/auburntrestle/http/server.cpp
+++ b/src/auburntrestle/http/server.cpp
@@ -7,6 +7,16 @@
 
 namespace auburntrestle::http {
 
+ServerLimits LimitsWithoutBodies() noexcept
+{
+  // A client may still send a body that nobody reads.
+  constexpr std::size_t kMaxBodyBytes = 1024;
+  ServerLimits limits;
+  limits.m_bodyBytes = kMaxBodyBytes;
+  limits.m_totalBodyBytes = 0;
+  return limits;
+}
+
 Exchange::Exchange(Request aRequest,
                    std::weak_ptr<internal::ServerConnection> aConnection)
   : m_request(std::move(aRequest))
@@ -40,7 +50,8 @@
 tl::expected<std::unique_ptr<Server>, ListenError> Server::Listen(
   event_loop::EventLoop& aLoop,
   const std::string& aAddress,
-  RequestHandler aHandler)
+  RequestHandler aHandler,
+  std::shared_ptr<ServerResources> aResources)
 {
   const auto address = settings::SocketAddress::Parse(aAddress);
   if (!address) {
@@ -48,8 +59,11 @@
   }
   const asio::ip::tcp::endpoint endpoint(
     asio::ip::make_address(address->Host()), address->Port());
-  auto state =
-    std::make_shared<internal::ServerState>(aLoop, std::move(aHandler));
+  auto state = std::make_shared<internal::ServerState>(
+    aLoop,
+    std::move(aHandler),
+    aResources ? std::move(aResources)
+               : std::make_shared<ServerResources>(ResourceLimits{}));
   asio::error_code error;
   auto& acceptor = state->m_acceptor;
   acceptor.open(endpoint.protocol(), error);
--- a/src/auburntrestle/http/server.hpp
+++ b/src/auburntrestle/http/server.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/core/time.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/http/message.hpp"
+#include "auburntrestle/http/server_resources.hpp"
 
 #include <tl/expected.hpp>
 
@@ -35,6 +36,9 @@
   Duration m_idleTimeout = std::chrono::seconds(15);
 };
 
+/** @return the limits of a server whose requests have no bodies. */
+[[nodiscard]] ServerLimits LimitsWithoutBodies() noexcept;
+
 /** Why a server could not start. */
 struct ListenError
 {
@@ -89,11 +93,15 @@
 class Server
 {
 public:
-  /** @param aAddress ip:port; port 0 selects any free port. */
+  /**
+   * @param aAddress ip:port; port 0 selects any free port.
+   * @param aResources shared by the servers of a process; null for no limits.
+   */
   [[nodiscard]] static tl::expected<std::unique_ptr<Server>, ListenError>
   Listen(event_loop::EventLoop& aLoop,
          const std::string& aAddress,
-         RequestHandler aHandler);
+         RequestHandler aHandler,
+         std::shared_ptr<ServerResources> aResources = nullptr);
 
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- /dev/null
+++ b/src/auburntrestle/http/server_resources.cpp
@@ -0,0 +1,150 @@
+#include "auburntrestle/http/server_resources.hpp"
+
+#include <algorithm>
+
+namespace auburntrestle::http {
+
+namespace {
+
+/** A request or response without progress for this long gives way to others. */
+constexpr Duration kStallTime = std::chrono::milliseconds(500);
+/** A connection that holds no more is served from the reserve: an ordinary
+ * request with its response holds less. */
+constexpr std::size_t kSmallHolding = std::size_t{ 32 } * 1024;
+/** The share of the memory that is kept for small holdings. */
+constexpr std::size_t kReserveDivisor = 4;
+
+} // namespace
+
+std::string_view ToString(ShedReason aReason) noexcept
+{
+  switch (aReason) {
+    case ShedReason::IdleClosed:
+      return "idle_closed";
+    case ShedReason::SlowRequestClosed:
+      return "slow_request_closed";
+    case ShedReason::SlowReaderClosed:
+      return "slow_reader_closed";
+    case ShedReason::RequestRefused:
+      return "request_refused";
+    case ShedReason::ConnectionRefused:
+      return "connection_refused";
+  }
+  return "unknown";
+}
+
+ServerResources::ServerResources(ResourceLimits aLimits)
+  : m_limits(aLimits)
+{
+}
+
+std::optional<ServerResources::Handle> ServerResources::TryAdd(
+  std::function<void()> aClose,
+  TimePoint aNow)
+{
+  if (m_connections >= m_limits.m_connections && !ShedOne(std::nullopt, aNow)) {
+    Report(ShedReason::ConnectionRefused);
+    return std::nullopt;
+  }
+  ++m_connections;
+  auto& idle = ListOf(ConnectionStage::Idle);
+  return idle.insert(
+    idle.end(), Holding{ ConnectionStage::Idle, 0, aNow, std::move(aClose) });
+}
+
+void ServerResources::Remove(Handle aConnection)
+{
+  m_heldBytes -= aConnection->m_bytes;
+  --m_connections;
+  ListOf(aConnection->m_stage).erase(aConnection);
+}
+
+void ServerResources::RecordProgress(Handle aConnection,
+                                     ConnectionStage aStage,
+                                     TimePoint aNow)
+{
+  auto& from = ListOf(aConnection->m_stage);
+  auto& target = ListOf(aStage);
+  target.splice(target.end(), from, aConnection);
+  aConnection->m_stage = aStage;
+  aConnection->m_progressAt = aNow;
+}
+
+bool ServerResources::HasRoom(Handle aConnection, std::size_t aBytes) const
+{
+  const std::size_t others = m_heldBytes - aConnection->m_bytes;
+  const std::size_t reserve =
+    aBytes > kSmallHolding ? m_limits.m_memoryBytes / kReserveDivisor : 0;
+  const std::size_t limit = m_limits.m_memoryBytes - reserve;
+  return others <= limit && aBytes <= limit - others;
+}
+
+bool ServerResources::TryHold(Handle aConnection,
+                              std::size_t aBytes,
+                              TimePoint aNow)
+{
+  while (aBytes > aConnection->m_bytes && !HasRoom(aConnection, aBytes)) {
+    if (!ShedOne(aConnection, aNow)) {
+      Report(ShedReason::RequestRefused);
+      return false;
+    }
+  }
+  m_heldBytes += aBytes - aConnection->m_bytes;
+  aConnection->m_bytes = aBytes;
+  return true;
+}
+
+void ServerResources::Hold(Handle aConnection,
+                           std::size_t aBytes,
+                           TimePoint aNow)
+{
+  while (aBytes > aConnection->m_bytes && !HasRoom(aConnection, aBytes) &&
+         ShedOne(aConnection, aNow)) {
+  }
+  m_heldBytes += aBytes - aConnection->m_bytes;
+  aConnection->m_bytes = aBytes;
+}
+
+bool ServerResources::ShedOne(std::optional<Handle> aFor, TimePoint aNow)
+{
+  const TimePoint stalledSince = aNow - kStallTime;
+  return ShedFrom(ConnectionStage::Receiving,
+                  ShedReason::SlowRequestClosed,
+                  aFor,
+                  stalledSince) ||
+         ShedFrom(ConnectionStage::Sending,
+                  ShedReason::SlowReaderClosed,
+                  aFor,
+                  stalledSince) ||
+         ShedFrom(ConnectionStage::Idle, ShedReason::IdleClosed, aFor, aNow);
+}
+
+bool ServerResources::ShedFrom(ConnectionStage aStage,
+                               ShedReason aReason,
+                               std::optional<Handle> aFor,
+                               TimePoint aStalledSince)
+{
+  auto& holdings = ListOf(aStage);
+  auto victim = holdings.begin();
+  if (aFor && victim == *aFor) {
+    ++victim;
+  }
+  if (victim == holdings.end() || victim->m_progressAt > aStalledSince) {
+    return false;
+  }
+  const std::size_t before = m_connections;
+  // The connection removes itself, which destroys the function.
+  const auto close = victim->m_close;
+  close();
+  Report(aReason);
+  return m_connections < before;
+}
+
+void ServerResources::Report(ShedReason aReason) const
+{
+  if (m_onShed) {
+    m_onShed(aReason);
+  }
+}
+
+} // namespace auburntrestle::http
--- a/src/auburntrestle/observe/instruments.hpp
+++ b/src/auburntrestle/observe/instruments.hpp
@@ -13,6 +13,7 @@
 namespace counters {
 inline constexpr std::string_view kResponses = "trestle_responses_total";
 inline constexpr std::string_view kAccessErrors = "trestle_access_errors_total";
+inline constexpr std::string_view kClientsShed = "trestle_clients_shed_total";
 inline constexpr std::string_view kDutyCalls = "trestle_duty_calls_total";
 inline constexpr std::string_view kUsageWindows = "trestle_usage_windows_total";
 inline constexpr std::string_view kBackendFailures =
