Rank the jobs that wait for engines by what their callers lose

Cause: waiting items were served in the order of their jobs, so that an account that submits much delays all others, and the longest items went first whether the trainer needs their group or not. Change: where the configuration has client accounts, jobs are ranked by priority, a guaranteed part of an even share for each account, urgency and age, and groups that the trainer does not wait for come last. Otherwise nothing changes.

--- a/src/auburntrestle/fleet/internal/job_items.hpp
+++ b/src/auburntrestle/fleet/internal/job_items.hpp
@@ -60,6 +60,8 @@
   std::unordered_map<GroupId, std::shared_ptr<RewardGroup>> m_groups;
   /** Items that wait for an engine. */
   std::deque<ItemPtr> m_waiting;
+  /** Items that run at present. */
+  std::size_t m_running = 0;
   bool m_ended = false;
 };
 
--- a/src/auburntrestle/fleet/item_scheduler.cpp
+++ b/src/auburntrestle/fleet/item_scheduler.cpp
@@ -161,6 +161,15 @@
            : std::nullopt;
 }
 
+std::size_t ItemScheduler::TotalSlots() const
+{
+  std::size_t slots = 0;
+  for (const auto& [id, engine] : m_engines) {
+    slots += engine.m_view.m_accepting ? engine.m_view.m_slots : 0;
+  }
+  return slots;
+}
+
 std::uint32_t ItemScheduler::RunningOn(const BackendId& aId) const
 {
   const auto found = m_engines.find(aId);
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -130,14 +130,7 @@
       job->m_waiting.push_back(item);
     }
   }
-  // The longest items determine when the job is complete.
-  std::stable_sort(job->m_waiting.begin(),
-                   job->m_waiting.end(),
-                   [&](const ItemPtr& aLeft, const ItemPtr& aRight) {
-                     const auto& items = job->m_spec->m_items;
-                     return items[aLeft->m_index].m_expectedTokens >
-                            items[aRight->m_index].m_expectedTokens;
-                   });
+  SortWaiting(*job);
   if (job->m_spec->m_model) {
     m_engines.SetDemand(*job->m_spec->m_model, demand);
   }
@@ -183,29 +176,6 @@
   return requirements;
 }
 
-void JobRunner::Dispatch()
-{
-  if (!m_active || !m_routes || std::exchange(m_dispatching, true)) {
-    return;
-  }
-  for (const auto& job : m_order) {
-    std::deque<ItemPtr> left;
-    while (!job->m_waiting.empty()) {
-      const ItemPtr item = job->m_waiting.front();
-      job->m_waiting.pop_front();
-      if (!item->m_done && !TryStart(item)) {
-        left.push_back(item);
-        // Further items of this job would need the same engines.
-        if (!item->m_avoid && item->m_transcript.Versions().empty()) {
-          break;
-        }
-      }
-    }
-    job->m_waiting.insert(job->m_waiting.begin(), left.begin(), left.end());
-  }
-  m_dispatching = false;
-}
-
 bool JobRunner::TryStart(const ItemPtr& aItem)
 {
   const JobSpec& spec = *aItem->m_job->m_spec;
@@ -268,6 +238,7 @@
     return false;
   }
   aItem->m_engine = aEngine;
+  ++aItem->m_job->m_running;
   aItem->m_head.reset();
   aItem->m_startedAt = MonotonicClock::Now();
   aItem->m_lastEventAt = aItem->m_startedAt;
@@ -366,6 +337,7 @@
       return;
     }
     m_engines.RecordSuccess(engine);
+    RecordRunTime(MonotonicClock::Now() - aItem->m_startedAt);
     OnOutputComplete(
       aItem, aItem->m_transcript.ToPartialOutput().value_or(PartialOutput{}));
     Dispatch();
@@ -437,6 +409,7 @@
   const JobItem& item = aItem.m_job->m_spec->m_items[aItem.m_index];
   m_engines.Scheduler().RecordEnd(*aItem.m_engine, item.m_group);
   aItem.m_engine.reset();
+  --aItem.m_job->m_running;
   if (const auto call = std::exchange(aItem.m_call, nullptr)) {
     call->Cancel();
   }
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -63,7 +63,8 @@
   void Add(const Job& aJob);
   /** Cancels the items of an ended job. */
   void Cancel(const JobId& aId);
-  /** Starts waiting items on engines with free slots. */
+  /** Starts waiting items on engines with free slots: in the order of their
+   * jobs, or, with client accounts, as the jobs are ranked. */
   void Dispatch();
 
 private:
@@ -90,6 +91,17 @@
   void OnReward(const ItemPtr& aItem, const RewardResult& aResult);
   void QueueCompleteOutput(const ItemPtr& aItem);
   void ProposeCompleteOutputs();
+  /** @return whether jobs are ranked by what their callers lose. */
+  [[nodiscard]] bool RanksWork() const;
+  void DispatchInOrder();
+  void DispatchRanked();
+  /** Starts waiting items of a job. @param aMax number of items to start.
+   * @return the number of items that were started. */
+  std::size_t DispatchJob(RunningJob& aJob, std::size_t aMax);
+  /** @return the jobs in the order in which they are served. */
+  [[nodiscard]] std::vector<std::shared_ptr<RunningJob>> RankedJobs() const;
+  /** Sorts the waiting items of a new job. */
+  void SortWaiting(RunningJob& aJob) const;
   [[nodiscard]] ItemRequirements RequirementsOf(const Item& aItem) const;
   /** @return false if no engine of the item's service has a free slot. */
   bool TryStart(const ItemPtr& aItem);
@@ -104,6 +116,7 @@
   void OnBody(const ItemPtr& aItem, std::string_view aBody);
   void OnDone(const ItemPtr& aItem,
               tl::expected<void, http::CallFailure> aResult);
+  void RecordRunTime(Duration aTime);
   void OnFailedAttempt(const ItemPtr& aItem, int aStatus);
   /** @return whether the route of an item permits only one weight version and
    * its output has several. */
@@ -144,6 +157,8 @@
   std::vector<ItemPtr> m_completeOutputs;
   bool m_completeOutputsScheduled = false;
   bool m_dispatching = false;
+  /** Smoothed time of a complete run in seconds; 0 while unknown. */
+  double m_runSeconds = 0;
   OutputCache m_cache;
   observe::Instruments& m_instruments;
 };
