Mend what the reviews of accounts, duties, limits and ranking found

Cause and change: the request of one account to end another's job was refused but stopped its items at the leader. Ids, paths and header fields of items could end a header line, and so forge an account. Cancelled calls to the infrastructure could arrive later; they are reset. A leader that had been replaced could take over usage counts. Stalled large bodies kept others out for 30 s; they give way now. Chunked bodies were counted with twice their size. A client that reads steadily counted as stalled, and one that sends ahead lost its response. Ranking mixed the slots of services, counted complete groups as missing after a change of leader, and put priority before the guaranteed share.

--- a/src/auburntrestle/fleet/client_account.cpp
+++ b/src/auburntrestle/fleet/client_account.cpp
@@ -32,6 +32,10 @@
   for (const auto& account : aAccounts) {
     table.m_priorities[account.m_name] = account.m_priority;
     for (const auto& key : account.m_keys) {
+      if (key == DigestOf({})) {
+        // Requests without a key would hold it.
+        continue;
+      }
       const auto [other, isNew] = table.m_byKey.emplace(key, account.m_name);
       if (!isNew && other->second != account.m_name) {
         return tl::make_unexpected(SharedKey{ other->second, account.m_name });
--- a/src/auburntrestle/fleet/duty_caller.cpp
+++ b/src/auburntrestle/fleet/duty_caller.cpp
@@ -22,6 +22,8 @@
   http::ClientOptions options;
   options.m_maxResponseBytes = kMaxResponseBytes;
   options.m_maxReceivedBytes = kMaxResponseBytes;
+  // What a cancelled call has not delivered must not arrive later.
+  options.m_resetsOnClose = true;
   return options;
 }
 
@@ -136,7 +138,12 @@
         return;
       }
       m_lease.RecordCommitted(proposedAt);
-      Advance();
+      if (m_lease.CallDeadline(BootClock::Now())) {
+        Advance();
+      } else {
+        // The record took too long, as the next one may.
+        AdvanceAfter(kRecordRetryDelay);
+      }
     });
 }
 
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -141,6 +141,7 @@
   /** Tells apart the runs of this instance in usage counts. */
   Incarnation m_incarnation;
   std::uint64_t m_usageSequence = 0;
+  TimePoint m_usageSentAt{};
   /** Usage counts are to be sent, or being sent. */
   bool m_usageScheduled = false;
   std::unique_ptr<protocol::PeerTransport> m_transport;
--- a/src/auburntrestle/fleet/entry_service_usage.cpp
+++ b/src/auburntrestle/fleet/entry_service_usage.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/fleet/entry_service.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburntrestle::fleet {
@@ -9,6 +10,7 @@
 /** Time in which the counts of several requests go into one message. What an
  * instance that dies has not sent is lost. */
 constexpr Duration kUsageDelay = std::chrono::milliseconds(250);
+constexpr Duration kMinUsageInterval = std::chrono::seconds(1);
 constexpr Duration kUsageTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kTimeOfDayInterval = std::chrono::seconds(1);
 
@@ -38,13 +40,18 @@
 
 void EntryService::ScheduleUsage()
 {
-  if (!std::exchange(m_usageScheduled, true)) {
-    m_loop.After(kUsageDelay, [this] { SubmitUsage(); });
+  if (std::exchange(m_usageScheduled, true)) {
+    return;
   }
+  const TimePoint now = MonotonicClock::Now();
+  const TimePoint at =
+    std::max(now + kUsageDelay, m_usageSentAt + kMinUsageInterval);
+  m_loop.After(at - now, [this] { SubmitUsage(); });
 }
 
 void EntryService::SubmitUsage()
 {
+  m_usageSentAt = MonotonicClock::Now();
   fleet::SubmitUsage submission;
   submission.m_instance = m_options.m_self;
   submission.m_incarnation = m_incarnation;
@@ -56,7 +63,10 @@
                     [this](const tl::expected<ReplyBody, LinkError>& aReply) {
                       const auto* view =
                         aReply ? std::get_if<UsageView>(&*aReply) : nullptr;
-                      if (view != nullptr) {
+                      // A leader that has been replaced may still answer.
+                      const bool isDelivered =
+                        view != nullptr && view->m_term >= m_watch.m_term;
+                      if (isDelivered) {
                         m_usage->RecordClosed(view->m_firstOpen);
                       } else {
                         m_usage->RecordNotDelivered();
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -5,6 +5,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
 #include <string_view>
@@ -197,6 +198,7 @@
   aReader.Mebibytes("limits.memory_mb", memory);
   std::size_t descriptors = MaxDescriptors();
   aReader.Count("limits.descriptors", descriptors);
+  descriptors = std::min<std::size_t>(descriptors, MaxDescriptors());
   aSettings.m_responseLimits = ResponseLimitsFor(memory);
   aSettings.m_requestLimits = RequestLimitsFor(memory);
   aSettings.m_clientLimits = ClientLimitsFor(memory, descriptors);
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -229,7 +229,7 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::UsageView> auto& aView)
 {
-  aArchive(aView.m_firstOpen);
+  aArchive(aView.m_firstOpen, Appended{ aView.m_term });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::RecordDutyLease> auto& aCommand)
--- a/src/auburntrestle/fleet/item_scheduler.cpp
+++ b/src/auburntrestle/fleet/item_scheduler.cpp
@@ -161,11 +161,13 @@
            : std::nullopt;
 }
 
-std::size_t ItemScheduler::TotalSlots() const
+std::size_t ItemScheduler::TotalSlots(const ServiceName& aService) const
 {
   std::size_t slots = 0;
   for (const auto& [id, engine] : m_engines) {
-    slots += engine.m_view.m_accepting ? engine.m_view.m_slots : 0;
+    const EngineView& view = engine.m_view;
+    const bool counts = view.m_accepting && view.m_service == aService;
+    slots += counts ? view.m_slots : 0;
   }
   return slots;
 }
--- a/src/auburntrestle/fleet/item_scheduler.hpp
+++ b/src/auburntrestle/fleet/item_scheduler.hpp
@@ -76,8 +76,8 @@
   [[nodiscard]] std::optional<BackendId> MigrationTarget(
     const BackendId& aFrom,
     const ItemRequirements& aRequirements) const;
-  /** @return the slots of all engines that accept items. */
-  [[nodiscard]] std::size_t TotalSlots() const;
+  /** @return the slots of all engines of a service that accept items. */
+  [[nodiscard]] std::size_t TotalSlots(const ServiceName& aService) const;
   /** @return the number of items that run on an engine. */
   [[nodiscard]] std::uint32_t RunningOn(const BackendId& aId) const;
 
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -130,7 +130,7 @@
       job->m_waiting.push_back(item);
     }
   }
-  SortWaiting(*job);
+  SortWaiting(*job, aJob);
   if (job->m_spec->m_model) {
     m_engines.SetDemand(*job->m_spec->m_model, demand);
   }
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -9,6 +9,7 @@
 #include "auburntrestle/fleet/output_cache.hpp"
 #include "auburntrestle/fleet/reward_caller.hpp"
 #include "auburntrestle/fleet/state.hpp"
+#include "auburntrestle/fleet/work_ranking.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
 #include <deque>
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace auburntrestle::fleet {
@@ -98,10 +100,16 @@
   /** Starts waiting items of a job. @param aMax number of items to start.
    * @return the number of items that were started. */
   std::size_t DispatchJob(RunningJob& aJob, std::size_t aMax);
-  /** @return the jobs in the order in which they are served. */
-  [[nodiscard]] std::vector<std::shared_ptr<RunningJob>> RankedJobs() const;
+  /** Starts waiting items of jobs that compete for the engines of a service. */
+  void DispatchRanked(const ServiceName& aService,
+                      const std::vector<std::shared_ptr<RunningJob>>& aJobs);
+  [[nodiscard]] JobDemand DemandOf(const RunningJob& aJob) const;
+  /** @return the groups of a new job that its trainer does not wait for. */
+  [[nodiscard]] static std::unordered_set<GroupId> SurplusGroups(
+    const RunningJob& aJob,
+    const Job& aRecord);
   /** Sorts the waiting items of a new job. */
-  void SortWaiting(RunningJob& aJob) const;
+  void SortWaiting(RunningJob& aJob, const Job& aRecord) const;
   [[nodiscard]] ItemRequirements RequirementsOf(const Item& aItem) const;
   /** @return false if no engine of the item's service has a free slot. */
   bool TryStart(const ItemPtr& aItem);
--- a/src/auburntrestle/fleet/job_runner_dispatch.cpp
+++ b/src/auburntrestle/fleet/job_runner_dispatch.cpp
@@ -4,8 +4,12 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <set>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace auburntrestle::fleet {
 
@@ -43,24 +47,74 @@
 
 void JobRunner::DispatchRanked()
 {
-  std::set<const RunningJob*> blocked;
+  // Services have engines of their own.
+  std::map<ServiceName, std::vector<std::shared_ptr<RunningJob>>> byService;
+  for (const auto& job : m_order) {
+    const Route* route =
+      m_routes->Match(job->m_spec->m_host, job->m_spec->m_path);
+    const bool competes = !job->m_waiting.empty() || job->m_running > 0;
+    if (route != nullptr && !route->m_targets.empty() && competes) {
+      byService[route->m_targets.front().m_service].push_back(job);
+    }
+  }
+  for (const auto& [service, jobs] : byService) {
+    DispatchRanked(service, jobs);
+  }
+}
+
+void JobRunner::DispatchRanked(
+  const ServiceName& aService,
+  const std::vector<std::shared_ptr<RunningJob>>& aJobs)
+{
+  EngineCapacity capacity;
+  capacity.m_slots = m_engines.Scheduler().TotalSlots(aService);
+  if (m_runSeconds > 0) {
+    capacity.m_workPerSecond =
+      static_cast<double>(capacity.m_slots) / m_runSeconds;
+  }
+  std::vector<JobDemand> demands;
+  demands.reserve(aJobs.size());
+  for (const auto& job : aJobs) {
+    demands.push_back(DemandOf(*job));
+  }
+  std::set<std::size_t> blocked;
   bool started = true;
   while (started) {
     started = false;
-    for (const auto& job : RankedJobs()) {
-      if (job->m_waiting.empty() || blocked.contains(job.get())) {
+    for (const std::size_t index : RankJobs(demands, capacity)) {
+      RunningJob& job = *aJobs[index];
+      if (job.m_waiting.empty() || blocked.contains(index)) {
         continue;
       }
-      // Each start changes how much of the engines an account uses.
-      started = DispatchJob(*job, 1) > 0;
+      started = DispatchJob(job, 1) > 0;
       if (started) {
+        // Each start changes how much of the engines an account uses.
+        demands[index].m_running = job.m_running;
         break;
       }
-      blocked.insert(job.get());
+      blocked.insert(index);
     }
   }
 }
 
+JobDemand JobRunner::DemandOf(const RunningJob& aJob) const
+{
+  JobDemand demand;
+  demand.m_account = aJob.m_spec->m_account;
+  demand.m_age = WallNow() - aJob.m_acceptedAt;
+  demand.m_running = aJob.m_running;
+  demand.m_workLeft =
+    static_cast<double>(aJob.m_waiting.size() + aJob.m_running);
+  const Route* route =
+    m_routes->Match(aJob.m_spec->m_host, aJob.m_spec->m_path);
+  if (route != nullptr) {
+    demand.m_priority = m_routes->EffectivePriority(*route, demand.m_account);
+    demand.m_objective = route->m_completionObjective;
+    demand.m_lifetime = route->m_itemLifetime;
+  }
+  return demand;
+}
+
 std::size_t JobRunner::DispatchJob(RunningJob& aJob, std::size_t aMax)
 {
   std::deque<ItemPtr> left;
@@ -85,84 +139,65 @@
   return started;
 }
 
-std::vector<std::shared_ptr<JobRunner::RunningJob>> JobRunner::RankedJobs()
-  const
+std::unordered_set<GroupId> JobRunner::SurplusGroups(const RunningJob& aJob,
+                                                     const Job& aRecord)
 {
-  EngineCapacity capacity;
-  capacity.m_slots = m_engines.Scheduler().TotalSlots();
-  if (m_runSeconds > 0) {
-    capacity.m_workPerSecond =
-      static_cast<double>(capacity.m_slots) / m_runSeconds;
+  struct Progress
+  {
+    GroupDemand m_demand;
+    std::size_t m_missing = 0;
+  };
+  std::unordered_map<GroupId, Progress> groups;
+  const auto& items = aJob.m_spec->m_items;
+  for (std::size_t index = 0; index < items.size(); ++index) {
+    Progress& progress = groups[items[index].m_group];
+    const bool isMissing = !aRecord.m_hasResult[index];
+    progress.m_missing += isMissing ? 1 : 0;
+    progress.m_demand.m_hasOutput = progress.m_demand.m_hasOutput || !isMissing;
   }
-  const WallTime now = WallNow();
-  std::vector<std::shared_ptr<RunningJob>> jobs;
-  std::vector<JobDemand> demands;
-  for (const auto& job : m_order) {
-    if (job->m_waiting.empty() && job->m_running == 0) {
-      continue;
-    }
-    JobDemand demand;
-    demand.m_account = job->m_spec->m_account;
-    demand.m_age = now - job->m_acceptedAt;
-    demand.m_running = job->m_running;
-    demand.m_workLeft =
-      static_cast<double>(job->m_waiting.size() + job->m_running);
-    const Route* route =
-      m_routes->Match(job->m_spec->m_host, job->m_spec->m_path);
-    if (route != nullptr) {
-      demand.m_priority = m_routes->EffectivePriority(*route, demand.m_account);
-      demand.m_objective = route->m_completionObjective;
-      demand.m_lifetime = route->m_itemLifetime;
+  for (const auto& item : aJob.m_items) {
+    GroupDemand& demand = groups[item->Spec().m_group].m_demand;
+    demand.m_longest = std::max(
+      demand.m_longest, static_cast<double>(item->Spec().m_expectedTokens));
+    demand.m_hasOutput = demand.m_hasOutput || item->m_completeOutput ||
+                         item->m_transcript.LastEvent().has_value();
+  }
+  std::vector<GroupId> ids;
+  std::vector<GroupDemand> demands;
+  std::size_t target = aJob.m_spec->m_targetGroups;
+  for (const auto& [id, progress] : groups) {
+    if (progress.m_missing == 0) {
+      target -= target > 0 ? 1 : 0;
+    } else {
+      ids.push_back(id);
+      demands.push_back(progress.m_demand);
     }
-    jobs.push_back(job);
-    demands.push_back(std::move(demand));
   }
-  std::vector<std::shared_ptr<RunningJob>> ranked;
-  for (const std::size_t index : RankJobs(demands, capacity)) {
-    ranked.push_back(jobs[index]);
+  std::unordered_set<GroupId> surplus;
+  const auto ranking = RankGroups(demands, target);
+  for (std::size_t rank = ranking.m_needed; rank < ranking.m_order.size();
+       ++rank) {
+    surplus.insert(ids[ranking.m_order[rank]]);
   }
-  return ranked;
+  return surplus;
 }
 
-void JobRunner::SortWaiting(RunningJob& aJob) const
+void JobRunner::SortWaiting(RunningJob& aJob, const Job& aRecord) const
 {
-  const auto tokensOf = [](const ItemPtr& aItem) {
-    return aItem->Spec().m_expectedTokens;
-  };
-  std::unordered_map<GroupId, std::size_t> rankOf;
-  if (RanksWork()) {
-    std::vector<GroupDemand> groups;
-    std::unordered_map<GroupId, std::size_t> indexOf;
-    for (const auto& item : aJob.m_items) {
-      const auto [found, isNew] =
-        indexOf.emplace(item->Spec().m_group, groups.size());
-      if (isNew) {
-        groups.emplace_back();
-      }
-      GroupDemand& group = groups[found->second];
-      group.m_longest =
-        std::max(group.m_longest, static_cast<double>(tokensOf(item)));
-      group.m_hasOutput = group.m_hasOutput || item->m_completeOutput ||
-                          item->m_transcript.LastEvent().has_value();
-    }
-    const std::size_t target = aJob.m_spec->m_targetGroups;
-    const auto order = RankGroups(groups, target);
-    std::vector<std::size_t> ranks(groups.size());
-    for (std::size_t rank = 0; rank < order.size(); ++rank) {
-      ranks[order[rank]] = target > 0 && rank >= target ? 1 : 0;
-    }
-    for (const auto& [group, index] : indexOf) {
-      rankOf[group] = ranks[index];
-    }
-  }
+  const auto surplus =
+    RanksWork() ? SurplusGroups(aJob, aRecord) : std::unordered_set<GroupId>();
   // The longest items determine when the job is complete.
   std::stable_sort(aJob.m_waiting.begin(),
                    aJob.m_waiting.end(),
                    [&](const ItemPtr& aLeft, const ItemPtr& aRight) {
-                     const std::size_t left = rankOf[aLeft->Spec().m_group];
-                     const std::size_t right = rankOf[aRight->Spec().m_group];
-                     return left != right ? left < right
-                                          : tokensOf(aLeft) > tokensOf(aRight);
+                     const JobItem& left = aLeft->Spec();
+                     const JobItem& right = aRight->Spec();
+                     const bool isLeftSurplus = surplus.contains(left.m_group);
+                     const bool isRightSurplus =
+                       surplus.contains(right.m_group);
+                     return isLeftSurplus != isRightSurplus
+                              ? isRightSurplus
+                              : left.m_expectedTokens > right.m_expectedTokens;
                    });
 }
 
--- a/src/auburntrestle/fleet/memory_limits.cpp
+++ b/src/auburntrestle/fleet/memory_limits.cpp
@@ -73,9 +73,11 @@
 std::uint64_t MaxDescriptors() noexcept
 {
   rlimit limit{};
+  // The minimum that POSIX guarantees.
+  constexpr std::uint64_t kUnknown = 20;
   return ::getrlimit(RLIMIT_NOFILE, &limit) == 0
            ? static_cast<std::uint64_t>(limit.rlim_cur)
-           : 0;
+           : kUnknown;
 }
 
 std::uint64_t MachineMemory() noexcept
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -210,6 +210,8 @@
 {
   /** The counts of earlier windows are final. */
   UsageWindow m_firstOpen;
+  /** The term of the leader that took over the counts. */
+  Term m_term = {};
 };
 
 using ReplyBody = std::variant<CommandReply,
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -405,13 +405,19 @@
           .Add("job", aAccepted.m_spec.m_id)
           .Add("items", aAccepted.m_spec.m_items.size())
           .Add("min_version", aAccepted.m_spec.m_minVersion);
-        if (m_replica->IsLeading()) {
-          m_runner->Add(*m_replica->GetState().FindJob(aAccepted.m_spec.m_id));
+        const Job* job = m_replica->GetState().FindJob(aAccepted.m_spec.m_id);
+        const bool isOwn = job->m_account == aAccepted.m_spec.m_account;
+        if (m_replica->IsLeading() && isOwn) {
+          m_runner->Add(*job);
         }
       },
       [this](const RecordResults&) { m_queries->OnStateChanged(); },
       [this](const EndJob& aEnded) {
         const Job* job = m_replica->GetState().FindJob(aEnded.m_job);
+        if (job != nullptr && !job->m_ended) {
+          // Another account's request, which has no effect.
+          return;
+        }
         LogLine(LogLevel::Info, "job_ended")
           .Add("job", aEnded.m_job)
           .Add("results", job == nullptr ? 0 : job->m_results.size());
@@ -438,6 +444,10 @@
 {
   LogLine(LogLevel::Info, "state_restored")
     .Add("jobs", m_replica->GetState().JobOrder().size());
+  if (m_duties) {
+    // The snapshot may cover a lease record that was not applied here.
+    m_duties->RecordLeaseApplied();
+  }
   UpdateRoutes();
 }
 
--- a/src/auburntrestle/fleet/store_service_duties.cpp
+++ b/src/auburntrestle/fleet/store_service_duties.cpp
@@ -62,7 +62,9 @@
 
 UsageView StoreService::SubmitUsage(const fleet::SubmitUsage& aSubmission)
 {
-  return m_usage ? m_usage->Submit(aSubmission) : UsageView{};
+  UsageView view = m_usage ? m_usage->Submit(aSubmission) : UsageView{};
+  view.m_term = m_replica->GetTerm();
+  return view;
 }
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/usage_service.cpp
+++ b/src/auburntrestle/fleet/usage_service.cpp
@@ -145,6 +145,8 @@
     .Add("outcome", ToString(aOutcome));
   if (aOutcome == DutyOutcome::Done) {
     m_failures = 0;
+    // By then the completion is applied.
+    m_nextReportAt = MonotonicClock::Now() + kMinRetryDelay;
     Propose(CompleteUsage{ aWindow });
     return;
   }
--- a/src/auburntrestle/fleet/work_ranking.cpp
+++ b/src/auburntrestle/fleet/work_ranking.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace auburntrestle::fleet {
 
@@ -63,8 +64,8 @@
     const std::size_t accounts = running.size();
     const bool hasShare =
       kShareDivisor * accounts * running.at(job.m_account) >= aCapacity.m_slots;
-    return std::tuple(IsAged(job) ? 0 : job.m_priority,
-                      hasShare,
+    return std::tuple(hasShare,
+                      IsAged(job) ? 0 : job.m_priority,
                       !IsUrgent(job, aCapacity),
                       -job.m_age);
   };
@@ -77,8 +78,8 @@
   return order;
 }
 
-std::vector<std::size_t> RankGroups(const std::vector<GroupDemand>& aGroups,
-                                    std::size_t aTarget)
+GroupRanking RankGroups(const std::vector<GroupDemand>& aGroups,
+                        std::size_t aTarget)
 {
   std::vector<std::size_t> order(aGroups.size());
   std::iota(order.begin(), order.end(), std::size_t{ 0 });
@@ -87,7 +88,8 @@
   };
   std::stable_sort(order.begin(), order.end(), longestFirst);
   if (aTarget == 0 || aTarget >= order.size()) {
-    return order;
+    const std::size_t needed = order.size();
+    return { std::move(order), needed };
   }
   std::size_t surplus = order.size() - aTarget;
   std::vector<std::size_t> needed;
@@ -97,8 +99,9 @@
     surplus -= isSurplus ? 1 : 0;
     (isSurplus ? last : needed).push_back(index);
   }
-  needed.insert(needed.end(), last.begin(), last.end());
-  return needed;
+  GroupRanking ranking{ needed, needed.size() };
+  ranking.m_order.insert(ranking.m_order.end(), last.begin(), last.end());
+  return ranking;
 }
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/work_ranking.hpp
+++ b/src/auburntrestle/fleet/work_ranking.hpp
@@ -21,7 +21,7 @@
   Duration m_age{};
   /** Its results are worth most if they are there at this age; 0 for none. */
   Duration m_objective{};
-  /** Its items may be given up at this age; 0 for never. */
+  /** Its items may be given up at this age; 0 if that is unknown. */
   Duration m_lifetime{};
   /** Expected work that is still missing, such as a number of items. */
   double m_workLeft = 0;
@@ -45,13 +45,13 @@
  * engines can do for a few seconds, and for one account that sends many times
  * what the others send.
  *
- * Jobs of a higher priority go first; one that waited for half of its lifetime
- * has the highest, so that every wait is bounded. Among equals, accounts that
- * use less than half of an even share of the slots go first, so that one that
- * sends much leaves the others what they need. Beyond that, a job that just
- * still meets its objective precedes one that has missed it, or has time, and
- * older jobs precede newer ones: jobs that end one after the other are worth
- * more than jobs that are all late together.
+ * Accounts that use less than half of an even share of the slots go first, so
+ * that one that sends much leaves the others what they need, whatever its
+ * priority. Next are jobs of a higher priority; one that waited for half of its
+ * lifetime has the highest, so that every wait is bounded. Among equals, a job
+ * that just still meets its objective precedes one that has missed it, or has
+ * time, and older jobs precede newer ones: jobs that end one after the other
+ * are worth more than jobs that are all late together.
  *
  * @return the indices of the jobs, first to be served first.
  */
@@ -68,6 +68,15 @@
   bool m_hasOutput = false;
 };
 
+/** The groups of a job in the order in which they are served. */
+struct GroupRanking
+{
+  /** Indices of the groups. */
+  std::vector<std::size_t> m_order;
+  /** The first groups of the order are needed; the others are surplus. */
+  std::size_t m_needed = 0;
+};
+
 /**
  * Ranks the groups of a job of which the trainer waits only for some. A trainer
  * gains by whole groups, so that the groups with the longest items beyond its
@@ -75,11 +84,9 @@
  * item, which decides when the step ends.
  *
  * @param aTarget number of groups that the trainer waits for; 0 for all.
- * @return the indices of the groups, first to be served first.
  */
-[[nodiscard]] std::vector<std::size_t> RankGroups(
-  const std::vector<GroupDemand>& aGroups,
-  std::size_t aTarget);
+[[nodiscard]] GroupRanking RankGroups(const std::vector<GroupDemand>& aGroups,
+                                      std::size_t aTarget);
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -95,6 +95,9 @@
   std::size_t m_maxResponseBytes = std::size_t{ 16 } * 1024 * 1024;
   /** Maximum bytes received for all responses in progress together. */
   std::size_t m_maxReceivedBytes = std::size_t{ 48 } * 1024 * 1024;
+  /** A connection is reset when it is closed, so that the system discards what
+   * was not sent. */
+  bool m_resetsOnClose = false;
 };
 
 namespace internal {
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -362,6 +362,9 @@
   CancelTimer(m_stageTimer);
   m_pool->RemoveIdle(*this);
   asio::error_code ignored;
+  if (m_pool->m_options.m_resetsOnClose) {
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   m_socket.close(ignored);
 }
 
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -75,14 +75,14 @@
 
 void ServerConnection::Start()
 {
-  m_account = m_state->m_resources->TryAdd(
+  m_usage = m_state->m_resources->TryAdd(
     [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->Close();
       }
     },
     MonotonicClock::Now());
-  if (!m_account || !TryHoldMemory()) {
+  if (!m_usage || !TryHoldMemory()) {
     Close();
     return;
   }
@@ -98,7 +98,6 @@
     return;
   }
   m_reading = true;
-  ResizeBuffer();
   m_socket.async_read_some(
     asio::buffer(m_buffer),
     [self = shared_from_this()](const asio::error_code& aError,
@@ -131,7 +130,14 @@
 bool ServerConnection::TryHoldMemory()
 {
   return m_closed || m_state->m_resources->TryHold(
-                       *m_account, HeldBytes(), MonotonicClock::Now());
+                       *m_usage, HeldBytes(), MonotonicClock::Now());
+}
+
+void ServerConnection::HoldMemory()
+{
+  if (!m_closed) {
+    m_state->m_resources->Hold(*m_usage, HeldBytes(), MonotonicClock::Now());
+  }
 }
 
 ConnectionStage ServerConnection::Stage() const noexcept
@@ -161,8 +167,7 @@
   }
   m_recentBytes = 0;
   m_stage = stage;
-  m_state->m_resources->RecordProgress(
-    *m_account, stage, MonotonicClock::Now());
+  m_state->m_resources->RecordProgress(*m_usage, stage, MonotonicClock::Now());
 }
 
 void ServerConnection::OnRead(const asio::error_code& aError,
@@ -184,14 +189,15 @@
   if (m_input.empty()) {
     m_input = std::string();
   }
+  ResizeBuffer();
   if (!m_lingering && !TryHoldMemory()) {
-    // A client that sends ahead while its request is handled gets no room;
-    // otherwise the request that arrives is refused.
-    if (m_exchange || m_writing) {
-      Close();
-    } else {
+    if (!m_exchange && !m_writing) {
       RefuseAndClose(kStatusUnavailable);
+      return;
     }
+    // The client sends ahead while its request is handled: nothing more is read
+    // until the response has been sent.
+    HoldMemory();
     return;
   }
   if (!m_exchange && !m_writing) {
@@ -256,27 +262,36 @@
   }
   const std::uint64_t body = std::max<std::uint64_t>(
     m_parser.BodySize(), m_parser.ContentLength().value_or(0));
-  // The space for a body in chunks grows by doubling.
-  const std::uint64_t held =
-    std::max<std::uint64_t>(body, m_parser.BodyCapacity());
   if (body > m_state->m_limits.m_bodyBytes) {
     return kStatusTooLarge;
   }
-  return TryHoldBody(held) ? std::nullopt : std::optional(kStatusUnavailable);
+  // The space for a body in chunks grows by doubling, beyond the largest body.
+  const std::size_t held = std::max<std::size_t>(
+    body, std::min(m_parser.BodyCapacity(), m_state->m_limits.m_bodyBytes));
+  return TryHoldBody(body, held) ? std::nullopt
+                                 : std::optional(kStatusUnavailable);
 }
 
-bool ServerConnection::TryHoldBody(std::size_t aBytes)
+bool ServerConnection::TryHoldBody(std::size_t aBodyBytes,
+                                   std::size_t aHeldBytes)
 {
-  if (aBytes <= kMaxSmallBodyBytes || aBytes <= m_heldBodyBytes) {
+  if (aBodyBytes <= kMaxSmallBodyBytes) {
+    m_parser.ReserveBody(m_parser.ContentLength().value_or(0));
+    return true;
+  }
+  if (aHeldBytes <= m_heldBodyBytes) {
     return true;
   }
-  const std::size_t further = aBytes - m_heldBodyBytes;
-  if (m_state->m_totalBodyBytes + further >
-      m_state->m_limits.m_totalBodyBytes) {
-    return false;
+  const std::size_t further = aHeldBytes - m_heldBodyBytes;
+  const std::size_t limit = m_state->m_limits.m_totalBodyBytes;
+  while (m_state->m_totalBodyBytes + further > limit) {
+    if (!m_state->m_resources->ShedStalledRequest(*m_usage,
+                                                  MonotonicClock::Now())) {
+      return false;
+    }
   }
   m_state->m_totalBodyBytes += further;
-  m_heldBodyBytes = aBytes;
+  m_heldBodyBytes = aHeldBytes;
   m_parser.ReserveBody(m_parser.ContentLength().value_or(0));
   return true;
 }
@@ -360,17 +375,29 @@
 {
   m_writing = true;
   m_output = std::exchange(m_nextOutput, {});
-  m_state->m_resources->Hold(*m_account, HeldBytes(), MonotonicClock::Now());
-  if (!m_exchange) {
-    RecordProgress();
-  }
+  m_sentBytes = 0;
+  HoldMemory();
+  RecordProgress();
   // A client that does not read its response is disconnected.
   SetTimer(m_state->m_limits.m_bodyTimeout);
-  asio::async_write(
-    m_socket,
-    asio::buffer(m_output),
-    [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
-      self->OnWritten(aError);
+  SendRest();
+}
+
+void ServerConnection::SendRest()
+{
+  m_socket.async_write_some(
+    asio::buffer(m_output) + m_sentBytes,
+    [self = shared_from_this()](const asio::error_code& aError,
+                                std::size_t aBytes) {
+      self->m_sentBytes += aBytes;
+      const bool goesOn =
+        !aError && !self->m_closed && self->m_sentBytes < self->m_output.size();
+      if (!goesOn) {
+        self->OnWritten(aError);
+        return;
+      }
+      self->RecordProgress();
+      self->SendRest();
     });
 }
 
@@ -398,10 +425,8 @@
     SetStageTimer();
   }
   ProcessInput();
-  if (!m_exchange && !m_closed) {
-    m_state->m_resources->Hold(*m_account, HeldBytes(), MonotonicClock::Now());
-    RecordProgress();
-  }
+  HoldMemory();
+  RecordProgress();
   Read();
 }
 
@@ -410,6 +435,8 @@
   // Closing with unread bytes would reset the connection, and the client could
   // lose the response.
   m_lingering = true;
+  HoldMemory();
+  RecordProgress();
   asio::error_code ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   SetTimer(kLingerTime, [this] { FinishLinger(); });
@@ -493,8 +520,8 @@
   }
   m_closed = true;
   ReleaseBody();
-  if (m_account) {
-    m_state->m_resources->Remove(*std::exchange(m_account, std::nullopt));
+  if (m_usage) {
+    m_state->m_resources->Remove(*std::exchange(m_usage, std::nullopt));
   }
   if (m_timer) {
     m_state->m_loop.Cancel(*std::exchange(m_timer, std::nullopt));
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -69,6 +69,8 @@
   [[nodiscard]] std::size_t HeldBytes() const;
   /** Accounts for the bytes held. @return whether there is room for them. */
   [[nodiscard]] bool TryHoldMemory();
+  /** Accounts for the bytes held, also beyond the limit. */
+  void HoldMemory();
   [[nodiscard]] ConnectionStage Stage() const noexcept;
   /** Records what the connection does at present, and that it makes progress.
    * @param aReceivedBytes bytes of a request; a few are no progress. */
@@ -81,8 +83,11 @@
   void OnRequest();
   /** @return the status to respond with when a limit is exceeded. */
   [[nodiscard]] std::optional<int> CheckLimits();
-  /** Counts a body if it is large. @return whether there is room for it. */
-  [[nodiscard]] bool TryHoldBody(std::size_t aBytes);
+  /** Counts a body if it is large; small ones are part of HeldBytes.
+   * @param aHeldBytes bytes allocated for it, at most the limit of one body.
+   * @return whether there is room for it. */
+  [[nodiscard]] bool TryHoldBody(std::size_t aBodyBytes,
+                                 std::size_t aHeldBytes);
   /** Stops counting the body of a request that was answered. */
   void ReleaseBody();
   void RefuseAndClose(int aStatus);
@@ -90,6 +95,8 @@
    * connection is closed after them. */
   void Write(std::string aBytes, bool aClose);
   void StartWrite();
+  /** Sends the rest of m_output, part by part. */
+  void SendRest();
   void OnWritten(const asio::error_code& aError);
   void LingerAndClose();
   /** Closes the connection unless the system still sends the last response. */
@@ -107,7 +114,8 @@
 
   std::shared_ptr<ServerState> m_state;
   asio::ip::tcp::socket m_socket;
-  std::optional<ServerResources::Handle> m_account;
+  /** The entry in ServerResources; absent once the connection is closed. */
+  std::optional<ServerResources::Handle> m_usage;
   std::vector<char> m_buffer = std::vector<char>(kReadBytes);
   ConnectionStage m_stage = ConnectionStage::Idle;
   /** Bytes received since progress was recorded. */
@@ -120,6 +128,8 @@
   std::optional<timer::TimerId> m_timer;
   /** The bytes that are being sent; must not change until they are. */
   std::string m_output;
+  /** Bytes of m_output that have been sent. */
+  std::size_t m_sentBytes = 0;
   /** Bytes to be sent after m_output. */
   std::string m_nextOutput;
   /** Bytes of the current request's body that ServerState counts. */
--- a/src/auburntrestle/http/server_resources.cpp
+++ b/src/auburntrestle/http/server_resources.cpp
@@ -119,6 +119,14 @@
          ShedFrom(ConnectionStage::Idle, ShedReason::IdleClosed, aFor, aNow);
 }
 
+bool ServerResources::ShedStalledRequest(Handle aConnection, TimePoint aNow)
+{
+  return ShedFrom(ConnectionStage::Receiving,
+                  ShedReason::SlowRequestClosed,
+                  aConnection,
+                  aNow - kStallTime);
+}
+
 bool ServerResources::ShedFrom(ConnectionStage aStage,
                                ShedReason aReason,
                                std::optional<Handle> aFor,
--- a/src/auburntrestle/http/server_resources.hpp
+++ b/src/auburntrestle/http/server_resources.hpp
@@ -107,6 +107,10 @@
    * has to be sent once its request was run. */
   void Hold(Handle aConnection, std::size_t aBytes, TimePoint aNow);
 
+  /** Closes the request other than aConnection that made no progress for the
+   * longest time. @return false if none has stalled. */
+  bool ShedStalledRequest(Handle aConnection, TimePoint aNow);
+
   [[nodiscard]] std::size_t HeldBytes() const noexcept { return m_heldBytes; }
   [[nodiscard]] std::size_t Connections() const noexcept
   {
--- a/test/auburntrestle/fleet/work_ranking_test.cpp
+++ b/test/auburntrestle/fleet/work_ranking_test.cpp
@@ -168,11 +168,12 @@
       auto& longest = groups[item.m_group].m_longest;
       longest = std::max(longest, static_cast<double>(item.m_events));
     }
-    const auto order =
+    const auto ranking =
       RankGroups(groups, aRanksGroups ? aJob.m_target : groups.size());
     std::vector<bool> isSurplus(groups.size());
-    for (std::size_t rank = aJob.m_target; rank < order.size(); ++rank) {
-      isSurplus[order[rank]] = aRanksGroups;
+    for (std::size_t rank = ranking.m_needed; rank < ranking.m_order.size();
+         ++rank) {
+      isSurplus[ranking.m_order[rank]] = true;
     }
     std::stable_sort(
       aJob.m_waiting.begin(),
@@ -412,6 +413,10 @@
                              Demand("a", 9, seconds(21)),
                              Demand("b", 0, seconds(1)),
                              0 },
+                  OrderCase{ "a_share_precedes_priority",
+                             Demand("a", 0, seconds(2), 60),
+                             Demand("b", 9, seconds(1), 24),
+                             1 },
                   OrderCase{ "an_account_without_its_share",
                              Demand("a", 0, seconds(2), 60),
                              Demand("b", 0, seconds(1), 24),
@@ -446,7 +451,7 @@
 // does not need them.
 TEST_P(GroupOrderTest, TheLongestSurplusGroupsComeLast)
 {
-  EXPECT_EQ(RankGroups(GetParam().m_groups, GetParam().m_target),
+  EXPECT_EQ(RankGroups(GetParam().m_groups, GetParam().m_target).m_order,
             GetParam().m_expected);
 }
 
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -348,6 +348,45 @@
   EXPECT_EQ(spec->m_minVersion, WeightVersion(3));
 }
 
+/** A job with one item whose field has a value that would end a header line or
+ * the request line at the engine. */
+struct InjectionCase
+{
+  std::string m_field;
+  std::string m_value;
+};
+
+class InjectionTest : public testing::TestWithParam<InjectionCase>
+{};
+
+// Guards against an item that adds header fields, such as another account's
+// name, or a second request to what an engine gets.
+TEST_P(InjectionTest, TheJobIsRefused)
+{
+  Json item{ { "id", "i" }, { "path", "/p" }, { "body", "" } };
+  if (GetParam().m_field == "name") {
+    item["headers"][GetParam().m_value] = "x";
+  } else if (GetParam().m_field == "value") {
+    item["headers"]["X-A"] = GetParam().m_value;
+  } else {
+    item[GetParam().m_field] = GetParam().m_value;
+  }
+  const Json items = Json::array({ item });
+  EXPECT_FALSE(ReadJobSpec(Json{ { "requests", items } }.dump()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Fields,
+  InjectionTest,
+  testing::Values(InjectionCase{ "value", "1\r\nX-Other: 2" },
+                  InjectionCase{ "value", std::string("a\0b", 3) },
+                  InjectionCase{ "name", "X-Other: 2\r\nX-A" },
+                  InjectionCase{ "name", "X-Tenant " },
+                  InjectionCase{ "name", "" },
+                  InjectionCase{ "id", "i\r\nX-Other: 2" },
+                  InjectionCase{ "path", "/p HTTP/1.1\r\nX-Other: 2" },
+                  InjectionCase{ "path", "/p q" }));
+
 Json JobWithRewards()
 {
   Json items = Json::array();
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -354,6 +354,14 @@
   SendUntil(404, { m_callers }, "GET", "/auburntrestle/lots/job-1");
   SendUntil(404, { m_callers }, "GET", "/auburntrestle/items/job-1?id=item0");
   SendUntil(404, { m_callers }, "DELETE", "/auburntrestle/lots/job-1");
+  // The job of the other account goes on.
+  m_callerHeaders.Set(names::kApiKey, "key-a");
+  SendUntil(202, { m_callers }, "POST", "/jobs/a", MakeJob(2), "job-2");
+  m_callerHeaders.Set(names::kApiKey, "key-b");
+  SendUntil(404, { m_callers }, "DELETE", "/auburntrestle/lots/job-2");
+  m_callerHeaders.Set(names::kApiKey, "key-a");
+  EXPECT_EQ(ReadAllResults("job-2").size(), 2U);
+  m_callerHeaders.Set(names::kApiKey, "key-b");
   SendUntil(409, { m_callers }, "POST", "/jobs/a", MakeJob(2), "job-1");
   m_callerHeaders.Add(names::kApiKey, "key-b");
   SendUntil(401, { m_callers }, "POST", "/plain/x", "q", "request-3");
