--- a/bench/client_account.cpp
+++ b/bench/client_account.cpp
@@ -29,7 +29,7 @@
 }
 
 /** The time to find the account of a known key. */
-void BM_FindByKey(benchmark::State& aState)
+void FindByKey(benchmark::State& aState)
 {
   const auto table = MakeTable(aState.range(0));
   std::int64_t number = 0;
@@ -38,16 +38,16 @@
     number = (number + 1) % aState.range(0);
   }
 }
-BENCHMARK(BM_FindByKey)->Arg(10)->Arg(1000)->Arg(100000);
+BENCHMARK(FindByKey)->Arg(10)->Arg(1000)->Arg(100000);
 
 /** The time to index all keys of a configuration. */
-void BM_CreateTable(benchmark::State& aState)
+void CreateTable(benchmark::State& aState)
 {
   for (auto _ : aState) {
     benchmark::DoNotOptimize(MakeTable(aState.range(0)));
   }
 }
-BENCHMARK(BM_CreateTable)->Arg(10)->Arg(1000)->Arg(100000);
+BENCHMARK(CreateTable)->Arg(10)->Arg(1000)->Arg(100000);
 
 } // namespace
 } // namespace auburntrestle::fleet
--- a/test/platform/untrusted_clients_test.cpp
+++ b/test/platform/untrusted_clients_test.cpp
@@ -215,9 +215,11 @@
     http::Client client(m_loop, {});
     std::optional<http::FetchResult> response;
     std::ignore = http::Fetch(
-      client, m_addresses.at(aTarget), request, {}, [&](http::FetchResult a) {
-        response = std::move(a);
-      });
+      client,
+      m_addresses.at(aTarget),
+      request,
+      {},
+      [&](http::FetchResult aResponse) { response = std::move(aResponse); });
     while (!response) {
       m_loop.Context().run_one();
     }
