Order replacement and additional servers at the leader

Cause: servers that leave or are reclaimed were not replaced, and a queue that starts too late did not lead to more servers. ScalingService sends the orders through DutyCaller if the settings name the duty. BackendRecord::m_preemptible comes from heartbeats and is an Appended field. ScalingService has no test of its own and was not run against an API.

--- a/src/auburntrestle/fleet/backend_record.hpp
+++ b/src/auburntrestle/fleet/backend_record.hpp
@@ -44,6 +44,10 @@
   Incarnation m_incarnation;
   /** The number of the announcement within the incarnation. */
   std::uint64_t m_sequence = 0;
+  /** May be taken away at short notice. Set when the process is first
+   * announced; not part of HasSameRouting, so that members of both builds apply
+   * the same changes. */
+  bool m_preemptible = false;
 
   [[nodiscard]] BackendProcess Process() const
   {
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -35,7 +35,8 @@
            aRecord.m_slots,
            aRecord.m_state,
            aRecord.m_incarnation,
-           aRecord.m_sequence);
+           aRecord.m_sequence,
+           Appended{ aRecord.m_preemptible });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::OutputReference> auto& aReference)
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -8,6 +8,7 @@
 #include "auburntrestle/fleet/item_transcript.hpp"
 #include "auburntrestle/fleet/output_cache.hpp"
 #include "auburntrestle/fleet/reward_caller.hpp"
+#include "auburntrestle/fleet/scaling_policy.hpp"
 #include "auburntrestle/fleet/state.hpp"
 #include "auburntrestle/observe/instruments.hpp"
 
@@ -66,6 +67,9 @@
   /** Starts waiting items on engines with free slots: in the order of their
    * jobs, or, with client accounts, as the jobs are ranked. */
   void Dispatch();
+  /** @return the waiting work of the services that have any; the slots of their
+   * servers are not set. */
+  [[nodiscard]] std::map<ServiceName, ServiceDemand> Demand() const;
 
 private:
   struct Item;
--- a/src/auburntrestle/fleet/job_runner_dispatch.cpp
+++ b/src/auburntrestle/fleet/job_runner_dispatch.cpp
@@ -174,4 +174,41 @@
                    : seconds;
 }
 
+std::map<ServiceName, ServiceDemand> JobRunner::Demand() const
+{
+  std::map<ServiceName, ServiceDemand> demands;
+  for (const auto& job : m_order) {
+    if (!m_routes || job->m_ended || job->m_waiting.empty()) {
+      continue;
+    }
+    // The items of a job have the same route as a rule.
+    const Route* route = m_routes->Match(job->m_spec->m_host,
+                                         job->m_waiting.front()->Spec().m_path);
+    if (route == nullptr) {
+      continue;
+    }
+    std::uint64_t weights = 0;
+    for (const RouteTarget& target : route->m_targets) {
+      weights += target.m_weight;
+    }
+    for (const RouteTarget& target : route->m_targets) {
+      if (target.m_weight == 0) {
+        continue;
+      }
+      ServiceDemand& demand = demands[target.m_service];
+      demand.m_waitingItems +=
+        job->m_waiting.size() * target.m_weight / weights;
+      demand.m_runTime = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(m_runSeconds));
+      const Duration objective = route->m_completionObjective;
+      if (demand.m_completionObjective == Duration::zero() ||
+          (objective > Duration::zero() &&
+           objective < demand.m_completionObjective)) {
+        demand.m_completionObjective = objective;
+      }
+    }
+  }
+  return demands;
+}
+
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -465,6 +465,9 @@
   if (m_usage) {
     m_usage->SetHasAccounts(!m_routes->Accounts().IsEmpty());
   }
+  if (m_scaling) {
+    m_scaling->SetRoutes(m_routes);
+  }
   if (m_replica->IsLeading()) {
     UpdateBackends();
     m_runner->SetRoutes(m_routes);
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -12,6 +12,7 @@
 #include "auburntrestle/fleet/leader_notices.hpp"
 #include "auburntrestle/fleet/query_server.hpp"
 #include "auburntrestle/fleet/replica.hpp"
+#include "auburntrestle/fleet/scaling_service.hpp"
 #include "auburntrestle/fleet/usage_service.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
@@ -198,6 +199,8 @@
   std::unique_ptr<DutyCaller> m_duties;
   /** Null if usage is not reported. */
   std::unique_ptr<UsageService> m_usage;
+  /** Null if no servers are ordered. */
+  std::unique_ptr<ScalingService> m_scaling;
   std::shared_ptr<const RouteTable> m_routes;
   LeaderNotices m_notices;
   DirectoryConfirmation m_confirmation;
--- a/src/auburntrestle/fleet/store_service_duties.cpp
+++ b/src/auburntrestle/fleet/store_service_duties.cpp
@@ -38,6 +38,16 @@
       propose,
       *m_options.m_instruments);
   }
+  if (settings.m_ordersServers) {
+    m_scaling = std::make_unique<ScalingService>(
+      m_loop,
+      m_store.m_infrastructureProtocol,
+      *m_duties,
+      [this]() -> const State& { return m_replica->GetState(); },
+      [this] { return m_runner->Demand(); },
+      *m_options.m_instruments);
+    m_scaling->SetRoutes(m_routes);
+  }
 }
 
 void StoreService::StartDuties()
@@ -48,10 +58,16 @@
   if (m_usage) {
     m_usage->Start();
   }
+  if (m_scaling) {
+    m_scaling->Start();
+  }
 }
 
 void StoreService::StopDuties()
 {
+  if (m_scaling) {
+    m_scaling->Stop();
+  }
   if (m_usage) {
     m_usage->Stop();
   }
--- a/src/auburntrestle/observe/instruments.hpp
+++ b/src/auburntrestle/observe/instruments.hpp
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kClientsShed = "trestle_clients_shed_total";
 inline constexpr std::string_view kDutyCalls = "trestle_duty_calls_total";
 inline constexpr std::string_view kUsageWindows = "trestle_usage_windows_total";
+inline constexpr std::string_view kServerOrders = "trestle_server_orders_total";
 inline constexpr std::string_view kBackendFailures =
   "trestle_backend_failures_total";
 inline constexpr std::string_view kRateLimits = "trestle_rate_limits_total";
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/consensus/memory_files.hpp"
 #include "auburntrestle/fleet/codec.hpp"
+#include "auburntrestle/fleet/internal/fields.hpp"
 #include "auburntrestle/fleet/state.hpp"
 
 #include <gtest/gtest.h>
@@ -112,6 +113,30 @@
   EXPECT_EQ(StateOf("b"), BackendState::Serving);
 }
 
+// Guards against losing the kind of a server in the log, and against stored
+// records of the build before that become unreadable.
+TEST_F(StateTest, ABackendKeepsItsKind)
+{
+  BackendRecord record = Backend("b", "1.1.1.1:1", 1, 1);
+  record.m_preemptible = true;
+  Apply(AnnounceBackend{ record });
+  EXPECT_TRUE(m_state.Backends().at(record.m_id).m_preemptible);
+
+  protocol::Writer writer;
+  writer(record.m_id,
+         record.m_service,
+         record.m_address,
+         record.m_dataCentre,
+         record.m_slots,
+         record.m_state,
+         record.m_incarnation,
+         record.m_sequence);
+  const auto before = protocol::Unpack<BackendRecord>(writer.ExtractBytes());
+  ASSERT_TRUE(before);
+  EXPECT_EQ(before->m_address, record.m_address);
+  EXPECT_FALSE(before->m_preemptible);
+}
+
 TEST_F(StateTest, ABackendReturnsOnlyUnderAHigherIncarnation)
 {
   Apply(AnnounceBackend{ Backend("a", "1.1.1.1:1", 10, 1) });
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -44,6 +44,34 @@
   EXPECT_EQ(record ? "" : record.error().m_field, GetParam().m_problem);
 }
 
+// Guards against ordering servers by wrong counts of a kind: only a true "spot"
+// makes a server preemptible, also when the server states when it leaves.
+TEST(HeartbeatFieldsTest, TellsPreemptibleServers)
+{
+  struct Case
+  {
+    Json m_spot;
+    bool m_preemptible;
+  };
+  for (const Case& item : { Case{ true, true },
+                            Case{ false, false },
+                            Case{ nullptr, false },
+                            Case{ "true", false },
+                            Case{ 1, false } }) {
+    Json document = ValidHeartbeat();
+    document["spot"] = item.m_spot;
+    document["state"] = "draining";
+    document["leaves_ms"] = 2200;
+    const auto record = ReadHeartbeat("i-1", document.dump());
+    ASSERT_TRUE(record) << item.m_spot;
+    EXPECT_EQ(record->m_preemptible, item.m_preemptible) << item.m_spot;
+    EXPECT_EQ(record->m_state, fleet::BackendState::Leaving);
+  }
+  const auto record = ReadHeartbeat("i-1", ValidHeartbeat().dump());
+  ASSERT_TRUE(record);
+  EXPECT_FALSE(record->m_preemptible);
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Heartbeats,
   HeartbeatTest,
