--- a/test/platform/infrastructure_dialect_test.cpp
+++ b/test/platform/infrastructure_dialect_test.cpp
@@ -51,6 +51,36 @@
             true);
 }
 
+constexpr auto kApi = R"({"address":"10.200.0.102:8022","rate_per_s":50.0,
+  "duties":["usage_report","autoscale"],"duty_per_s":20.0})";
+
+TEST(InfrastructureSettingsTest, TranslatesAllFields)
+{
+  const auto settings = ReadInfrastructure(
+    kApi, R"({"usage_window_s":4,"usage_late_s":8,"require_fencing":true})");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->m_address, "10.200.0.102:8022");
+  EXPECT_TRUE(settings->m_reportsUsage);
+  EXPECT_TRUE(settings->m_ordersServers);
+  EXPECT_EQ(settings->m_callsPerSecond, 20.0);
+  EXPECT_EQ(settings->m_usageWindow, std::chrono::seconds(4));
+  EXPECT_EQ(settings->m_usageDue, std::chrono::seconds(8));
+  EXPECT_TRUE(settings->m_checksFencing);
+}
+
+// Guards against duties on a deployment that names none.
+TEST(InfrastructureSettingsTest, WithoutAnApiThereAreNoDuties)
+{
+  EXPECT_FALSE(ReadInfrastructure("", "{}"));
+  EXPECT_FALSE(ReadInfrastructure("null", "{}"));
+  EXPECT_FALSE(ReadInfrastructure(R"({"address":"nowhere"})", "{}"));
+  const auto settings = ReadInfrastructure(R"({"address":"1.1.1.1:1"})", "");
+  ASSERT_TRUE(settings);
+  EXPECT_FALSE(settings->m_reportsUsage);
+  EXPECT_FALSE(settings->m_ordersServers);
+  EXPECT_FALSE(settings->m_checksFencing);
+}
+
 struct OutcomeCase
 {
   int m_status = 0;
