--- a/src/auburntrestle/fleet/instance_options.hpp
+++ b/src/auburntrestle/fleet/instance_options.hpp
@@ -64,6 +64,8 @@
    * two successive leaders. */
   Duration m_leaseTime = std::chrono::seconds(3);
   InfrastructureProtocol m_infrastructureProtocol = {};
+  /** See JobRunner::SetRanksJobs. */
+  bool m_ranksJobs = false;
 };
 
 /** Why an instance could not start. */
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -265,6 +265,8 @@
   aSettings.m_dataFolder = aReader.String("log.data_folder", true);
   aSettings.m_bootstrap =
     aReader.Get<bool>("log.bootstrap", false).value_or(false);
+  aSettings.m_ranksJobs =
+    aReader.Get<bool>("jobs.ranked", false).value_or(false);
   constexpr std::int64_t kMaxLosses = 3;
   const auto losses =
     aReader.Get<std::int64_t>("log.tolerated_losses", false).value_or(1);
@@ -363,6 +365,7 @@
   compare(restart, "timing.shutdown_seconds", &FleetSettings::m_shutdownTime);
   compare(
     restart, "timing.job_retention_seconds", &FleetSettings::m_jobRetention);
+  compare(restart, "jobs.ranked", &FleetSettings::m_ranksJobs);
   compare(restart, "infrastructure", &FleetSettings::m_infrastructure);
   const bool sameLimits =
     aInForce.m_responseLimits == aChanged.m_responseLimits &&
--- a/src/auburntrestle/fleet/instance_settings.hpp
+++ b/src/auburntrestle/fleet/instance_settings.hpp
@@ -55,6 +55,8 @@
   Duration m_leaseTime = std::chrono::seconds(3);
   Duration m_shutdownTime = std::chrono::seconds(8);
   Duration m_jobRetention = std::chrono::seconds(120);
+  /** Jobs of client accounts are ranked; store only. */
+  bool m_ranksJobs = false;
   /** Limits on responses of backend servers. */
   ResponseLimits m_responseLimits = ResponseLimitsFor(MachineMemory());
   /** Limits on large requests of callers. */
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -56,6 +56,9 @@
    * entry. */
   static constexpr Duration kRecordBatchDelay = std::chrono::milliseconds(15);
 
+  /** Sets whether jobs are ranked where the configuration has client accounts;
+   * see RankJobs. Otherwise they are served in the order of arrival. */
+  void SetRanksJobs(bool aRanksJobs) { m_ranksJobs = aRanksJobs; }
   /** Starts a leadership epoch: runs the unfinished items of all jobs. */
   void Start(const State& aState, std::shared_ptr<const RouteTable> aRoutes);
   /** Ends the leadership epoch: cancels all runs and discards all state. */
@@ -169,6 +172,7 @@
   std::vector<ItemPtr> m_completeOutputs;
   bool m_completeOutputsScheduled = false;
   bool m_dispatching = false;
+  bool m_ranksJobs = false;
   /** Smoothed time of a complete run in seconds; 0 while unknown. */
   double m_runSeconds = 0;
   OutputCache m_cache;
--- a/src/auburntrestle/fleet/job_runner_dispatch.cpp
+++ b/src/auburntrestle/fleet/job_runner_dispatch.cpp
@@ -22,7 +22,7 @@
 
 bool JobRunner::RanksWork() const
 {
-  return m_routes && !m_routes->Accounts().IsEmpty();
+  return m_ranksJobs && m_routes && !m_routes->Accounts().IsEmpty();
 }
 
 void JobRunner::Dispatch()
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -145,6 +145,7 @@
     loadItem,
     *m_options.m_instruments,
     std::random_device()());
+  m_runner->SetRanksJobs(m_store.m_ranksJobs);
   m_engines->SetChangeCallback([this] { m_runner->Dispatch(); });
   SetUpDuties();
   m_link = std::make_unique<LeaderLink>(
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -33,6 +33,8 @@
 received_mb = 24
 request_bodies_mb = 16
 replicated_jobs_mb = 12
+[jobs]
+ranked = true
 [infrastructure]
 address = "10.0.9.1:8022"
 duties = ["usage_report"]
@@ -57,6 +59,7 @@
   constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
   EXPECT_EQ(settings->m_responseLimits,
             (ResponseLimits{ 8 * kMebibyte, 24 * kMebibyte }));
+  EXPECT_TRUE(settings->m_ranksJobs);
   const auto& infrastructure = settings->m_infrastructure;
   EXPECT_EQ(infrastructure.m_address, "10.0.9.1:8022");
   EXPECT_TRUE(infrastructure.m_reportsUsage);
@@ -108,6 +111,7 @@
     FaultCase{ "replicated_jobs_mb = 12",
                "replicated_jobs_mb = \"12\"",
                "limits.replicated_jobs_mb" },
+    FaultCase{ "ranked = true", "ranked = 1", "jobs.ranked" },
     FaultCase{ "10.0.9.1:8022", "nowhere", "infrastructure.address" },
     FaultCase{ "usage_report", "usage", "infrastructure.duties" },
     FaultCase{ "[\"usage_report\"]", "[5]", "infrastructure.duties" },
@@ -172,6 +176,7 @@
     ChangeCase{ "2500", "2600", "", "timing.lease_ms" },
     ChangeCase{ "\"/data\"", "\"/other\"", "", "log.data_folder" },
     ChangeCase{ "losses = 2", "losses = 1", "", "log.tolerated_losses" },
+    ChangeCase{ "ranked = true", "ranked = false", "", "jobs.ranked" },
     ChangeCase{ "due_seconds = 10", "due_seconds = 11", "", "infrastructure" },
     ChangeCase{ "received_mb = 24", "received_mb = 32", "", "limits" },
     ChangeCase{ "request_bodies_mb = 16",
