--- a/src/auburntrestle/fleet/scaling_policy.cpp
+++ b/src/auburntrestle/fleet/scaling_policy.cpp
@@ -84,8 +84,10 @@
   } else if (aNow < *m_firstObserved + kDiscoveryTime) {
     baseline = std::max(baseline, aCounts.Present());
   } else if (aNow >= *m_firstObserved + kSettlingTime) {
-    const auto lowest = std::ranges::min_element(
-      samples, {}, [](const auto& a) { return a.m_counts.Present(); });
+    const auto lowest =
+      std::ranges::min_element(samples, {}, [](const auto& aSample) {
+        return aSample.m_counts.Present();
+      });
     baseline = std::max(baseline, lowest->m_counts.Present());
   }
   aDataCentre.m_baseline = std::min(baseline, m_limits.m_maxServers);
