--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -30,6 +30,13 @@
   return aIp + ":" + std::to_string(aPort);
 }
 
+std::string MemorySettings(long aMegabytes)
+{
+  return aMegabytes > 0
+           ? "[limits]\nmemory_mb = " + std::to_string(aMegabytes) + "\n"
+           : "";
+}
+
 } // namespace
 
 Record::Record(const std::string& aPath)
@@ -137,25 +144,49 @@
   return CommonSettings("store", name, Ip(1 + aStore)) + "control = \"" +
          Control(aStore) + "\"\n[log]\ndata_folder = \"" +
          (m_folder / name).string() +
-         "\"\nbootstrap = true\ntolerated_losses = 1\n";
+         "\"\nbootstrap = true\ntolerated_losses = 1\n" +
+         MemorySettings(m_storeMb);
 }
 
 std::string Deployment::EdgeSettings(int aEdge) const
 {
   const std::string ip = Ip(kFirstEdge + aEdge);
-  const std::string limits =
-    m_memoryMb > 0
-      ? "[limits]\nmemory_mb = " + std::to_string(m_memoryMb) + "\n"
-      : "";
   return CommonSettings("entry", "edge-" + std::to_string(aEdge), ip) +
          "callers = \"" + Front(aEdge) + "\"\nreadiness = \"" +
-         Join(ip, kReadyPort) + "\"\n" + limits;
+         Join(ip, kReadyPort) + "\"\n" + MemorySettings(m_edgeMb);
+}
+
+void Deployment::SetMemory(long aEdgeMb, long aStoreMb)
+{
+  m_edgeMb = aEdgeMb;
+  m_storeMb = aStoreMb;
+}
+
+std::string Deployment::NameOf(int aMachine) const
+{
+  return aMachine < kStores ? "storage-" + std::to_string(aMachine)
+                            : "edge-" + std::to_string(aMachine - kStores);
+}
+
+long Deployment::MemoryMb(int aMachine) const
+{
+  return aMachine < kStores ? m_storeMb : m_edgeMb;
+}
+
+pid_t& Deployment::ProcessOf(int aMachine)
+{
+  return aMachine < kStores
+           ? m_storeProcesses.at(static_cast<std::size_t>(aMachine))
+           : m_edgeProcesses.at(static_cast<std::size_t>(aMachine - kStores));
 }
 
-long Deployment::EdgeMemoryMb(int aEdge) const
+long Deployment::UsedMb(int aMachine) const
 {
   constexpr long kBytesPerMegabyte = 1024L * 1024;
-  const pid_t process = m_edgeProcesses.at(static_cast<std::size_t>(aEdge));
+  const pid_t process =
+    aMachine < kStores
+      ? m_storeProcesses.at(static_cast<std::size_t>(aMachine))
+      : m_edgeProcesses.at(static_cast<std::size_t>(aMachine - kStores));
   std::ifstream file("/proc/" + std::to_string(process) + "/statm");
   long pages = 0;
   long resident = 0;
@@ -163,13 +194,15 @@
   return resident * sysconf(_SC_PAGESIZE) / kBytesPerMegabyte;
 }
 
-void Deployment::RestartEdge(int aEdge, int aDelayMs)
+void Deployment::Restart(int aMachine, int aDelayMs)
 {
-  auto& process = m_edgeProcesses.at(static_cast<std::size_t>(aEdge));
+  pid_t& process = ProcessOf(aMachine);
   kill(process, SIGKILL);
   waitpid(process, nullptr, 0);
   Sleep(aDelayMs);
-  process = StartProcess("edge-" + std::to_string(aEdge), EdgeSettings(aEdge));
+  process = StartProcess(NameOf(aMachine),
+                         aMachine < kStores ? StoreSettings(aMachine)
+                                            : EdgeSettings(aMachine - kStores));
 }
 
 pid_t Deployment::StartProcess(const std::string& aName,
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -60,13 +60,18 @@
                                    const std::string& aBody);
   /** @return whether all edge machines became ready in time. */
   [[nodiscard]] bool WaitUntilReady();
-  /** Sets the memory of the edge machines, which a process otherwise learns
+  /** Sets the memory of the machines in MB, which a process otherwise learns
    * from the machine. Call before Start. */
-  void SetMemory(long aMegabytes) { m_memoryMb = aMegabytes; }
-  /** @return the memory that an edge machine's process takes now. */
-  [[nodiscard]] long EdgeMemoryMb(int aEdge) const;
-  /** Kills an edge machine's process and starts it again after a delay. */
-  void RestartEdge(int aEdge, int aDelayMs);
+  void SetMemory(long aEdgeMb, long aStoreMb);
+  /** @return the number of machines: first those for storage, then the edge. */
+  [[nodiscard]] int Machines() const { return kStores + m_edges; }
+  [[nodiscard]] std::string NameOf(int aMachine) const;
+  /** @return the memory of a machine, or 0 if it was not set. */
+  [[nodiscard]] long MemoryMb(int aMachine) const;
+  /** @return the memory that the process of a machine takes now. */
+  [[nodiscard]] long UsedMb(int aMachine) const;
+  /** Kills the process of a machine and starts it again after a delay. */
+  void Restart(int aMachine, int aDelayMs);
 
   static constexpr int kStores = 3;
 
@@ -74,6 +79,7 @@
   [[nodiscard]] std::string Ip(int aMachine) const;
   [[nodiscard]] pid_t StartProcess(const std::string& aName,
                                    const std::string& aSettings);
+  [[nodiscard]] pid_t& ProcessOf(int aMachine);
   [[nodiscard]] std::string StoreSettings(int aStore) const;
   [[nodiscard]] std::string EdgeSettings(int aEdge) const;
   [[nodiscard]] std::string CommonSettings(const std::string& aRole,
@@ -82,7 +88,8 @@
 
   Record& m_record;
   int m_edges;
-  long m_memoryMb = 0;
+  long m_edgeMb = 0;
+  long m_storeMb = 0;
   std::string m_network;
   std::filesystem::path m_folder;
   std::vector<pid_t> m_storeProcesses;
