--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -1,6 +1,8 @@
 #include "deployment.hpp"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -16,11 +18,6 @@
 
 namespace {
 
-constexpr int kPeerPort = 7300;
-constexpr int kControlPort = 8262;
-constexpr int kFrontPort = 8263;
-constexpr int kReadyPort = 8268;
-constexpr int kMetricsPort = 9464;
 constexpr int kFirstEdge = 10;
 constexpr int kFirstServer = 100;
 constexpr int kStatusOk = 200;
@@ -30,6 +27,44 @@
   return aIp + ":" + std::to_string(aPort);
 }
 
+/** @return the first port from aFirst on that no program uses at any address.
+ */
+int FindFreePort(int aFirst)
+{
+  constexpr int kLastPort = 32000;
+  for (int port = aFirst; port < kLastPort; ++port) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool isFree = bind(descriptor,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)) == 0;
+    close(descriptor);
+    if (isFree) {
+      return port;
+    }
+  }
+  return aFirst;
+}
+
+/** @return free ports below those that the system gives to connections. */
+Ports FindFreePorts()
+{
+  Ports ports;
+  int next = 20000;
+  for (int* port : { &ports.m_peers,
+                     &ports.m_control,
+                     &ports.m_front,
+                     &ports.m_ready,
+                     &ports.m_metrics,
+                     &ports.m_server }) {
+    *port = FindFreePort(next);
+    next = *port + 1;
+  }
+  return ports;
+}
+
 std::string MemorySettings(long aMegabytes)
 {
   return aMegabytes > 0
@@ -62,6 +97,7 @@
 Deployment::Deployment(Record& aRecord, int aEdges)
   : m_record(aRecord)
   , m_edges(aEdges)
+  , m_ports(FindFreePorts())
 {
   // Scripts that run at the same time use different addresses.
   constexpr int kNetworks = 200;
@@ -96,12 +132,12 @@
 
 std::string Deployment::Front(int aEdge) const
 {
-  return Join(Ip(kFirstEdge + aEdge), kFrontPort);
+  return Join(Ip(kFirstEdge + aEdge), m_ports.m_front);
 }
 
 std::string Deployment::Control(int aStore) const
 {
-  return Join(Ip(1 + aStore), kControlPort);
+  return Join(Ip(1 + aStore), m_ports.m_control);
 }
 
 std::vector<std::string> Deployment::Controls() const
@@ -116,8 +152,7 @@
 
 std::string Deployment::ServerAddress(int aNumber) const
 {
-  constexpr int kServerPort = 8080;
-  return Join(Ip(kFirstServer + aNumber), kServerPort);
+  return Join(Ip(kFirstServer + aNumber), m_ports.m_server);
 }
 
 std::string Deployment::CommonSettings(const std::string& aRole,
@@ -131,11 +166,11 @@
   return "[instance]\nrole = \"" + aRole + "\"\nmachine = \"" + aName +
          "\"\ndata_centre = \"zone-a\"\n[peers]\n"
          "shared_key = \"auburntrestle-platform-deployment\"\nseeds = [" +
-         seeds + "]\nport = " + std::to_string(kPeerPort) +
+         seeds + "]\nport = " + std::to_string(m_ports.m_peers) +
          "\n[timing]\nlease_ms = 3000\nshutdown_seconds = 8\n" +
          (aRole == "store" ? "job_retention_seconds = 120\n" : "") +
-         "[listen]\npeers = \"" + Join(aIp, kPeerPort) + "\"\nmetrics = \"" +
-         Join(aIp, kMetricsPort) + "\"\n";
+         "[listen]\npeers = \"" + Join(aIp, m_ports.m_peers) +
+         "\"\nmetrics = \"" + Join(aIp, m_ports.m_metrics) + "\"\n";
 }
 
 std::string Deployment::StoreSettings(int aStore) const
@@ -153,7 +188,7 @@
   const std::string ip = Ip(kFirstEdge + aEdge);
   return CommonSettings("entry", "edge-" + std::to_string(aEdge), ip) +
          "callers = \"" + Front(aEdge) + "\"\nreadiness = \"" +
-         Join(ip, kReadyPort) + "\"\n" + MemorySettings(m_edgeMb);
+         Join(ip, m_ports.m_ready) + "\"\n" + MemorySettings(m_edgeMb);
 }
 
 void Deployment::SetMemory(long aEdgeMb, long aStoreMb)
@@ -305,7 +340,7 @@
   for (int edge = 0; edge < m_edges; ++edge) {
     bool isReady = false;
     for (int attempt = 0; attempt < kTries && !isReady; ++attempt) {
-      const auto response = Call(Join(Ip(kFirstEdge + edge), kReadyPort),
+      const auto response = Call(Join(Ip(kFirstEdge + edge), m_ports.m_ready),
                                  "GET",
                                  "/auburntrestle/ready",
                                  { { "Host", "ready" } });
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -30,6 +30,17 @@
   std::ofstream m_file;
 };
 
+/** The ports of a deployment, the same on all machines. */
+struct Ports
+{
+  int m_peers = 0;
+  int m_control = 0;
+  int m_front = 0;
+  int m_ready = 0;
+  int m_metrics = 0;
+  int m_server = 0;
+};
+
 /** Three storage machines and some edge machines, each a process of the
  * project with an address of its own in 127.0.0.0/8. The settings are those
  * that the templates of the project give, with the figures of tp-ensaio. */
@@ -90,6 +101,7 @@
   int m_edges;
   long m_edgeMb = 0;
   long m_storeMb = 0;
+  Ports m_ports;
   std::string m_network;
   std::filesystem::path m_folder;
   std::vector<pid_t> m_storeProcesses;
