Count only stores in contact as remaining when a machine is retired

Cause: the count included every announced machine that is not being retired, and nothing ends the announcement of a machine that is replaced by one with another name.

Change: the leader adds to a retirement the stores that it has not heard from for 10 s; they do not count. The command carries them, so that all members of the log decide alike. It is readable without them, as earlier builds wrote it.

--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -58,6 +58,9 @@
   std::string m_machine;
   /** The minimum number of members that must remain. */
   std::uint32_t m_minRemaining = 0;
+  /** Announced instances that the leader found lost, and which therefore do not
+   * remain; set by the leader. */
+  std::vector<InstanceId> m_lost = {};
 };
 
 /** Accepts a batch job; a known id is ignored. */
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -113,7 +113,8 @@
 
 void Fields(auto& aArchive, MaybeConst<fleet::RetireMember> auto& aCommand)
 {
-  aArchive(aCommand.m_machine, aCommand.m_minRemaining);
+  aArchive(
+    aCommand.m_machine, aCommand.m_minRemaining, Appended{ aCommand.m_lost });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::AcceptJob> auto& aCommand)
--- a/src/auburntrestle/fleet/membership_plan.hpp
+++ b/src/auburntrestle/fleet/membership_plan.hpp
@@ -24,14 +24,18 @@
   Duration m_voterLossTimeout = std::chrono::seconds(5);
   /** A learner without contact for this long is removed. */
   Duration m_learnerLossTimeout = std::chrono::seconds(30);
+  /** A store without contact for this long does not count as one that remains
+   * when another is retired. Longer than a restart or a short partition,
+   * because a refused retirement is not requested again. */
+  Duration m_storeLossTimeout = std::chrono::seconds(10);
 };
 
 /**
  * Plans the next membership change of the log, at most one at a time: adds
  * joining instances up to the targets of the policy, keeps the target number of
  * voters spread over the data centres, replaces lost voters and removes the
- * members of retiring machines. A voter is removed only while the remaining
- * voters that are in contact form a majority.
+ * members of retiring machines. A voter is removed only after it has been
+ * replaced, and while the remaining voters that are in contact form a majority.
  *
  * @param aStatus the status of the leader.
  * @param aJoining instances that requested to join, oldest first.
--- a/src/auburntrestle/fleet/replica.cpp
+++ b/src/auburntrestle/fleet/replica.cpp
@@ -177,6 +177,14 @@
   return members;
 }
 
+std::vector<InstanceId> Replica::FindLostStores() const
+{
+  return m_contacts.FindLost(Status(),
+                             *m_state,
+                             m_options.m_membership.m_storeLossTimeout,
+                             MonotonicClock::Now());
+}
+
 void Replica::SetKnownMembers(const std::vector<InstanceId>& aMembers)
 {
   Push(consensus::MemberListReceived{ aMembers });
--- a/src/auburntrestle/fleet/replica.hpp
+++ b/src/auburntrestle/fleet/replica.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/consensus/file_storage.hpp"
 #include "auburntrestle/consensus/node.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
+#include "auburntrestle/fleet/member_contacts.hpp"
 #include "auburntrestle/fleet/membership_plan.hpp"
 #include "auburntrestle/fleet/output_store.hpp"
 #include "auburntrestle/fleet/snapshot_sender.hpp"
@@ -102,6 +103,9 @@
     const OutputChunk& aChunk);
   /** @return the members in the newest log configuration known here. */
   [[nodiscard]] std::vector<InstanceId> GetLogMembers() const;
+  /** @return the announced stores that the leader found lost; to be called on
+   * the leader. */
+  [[nodiscard]] std::vector<InstanceId> FindLostStores() const;
   /** Sets the current members of the log. An instance that is not a member
    * sends its join requests to them. */
   void SetKnownMembers(const std::vector<InstanceId>& aMembers);
@@ -182,6 +186,7 @@
   std::map<consensus::ProposalId, ProposeCallback> m_proposals;
   std::map<consensus::ReadId, std::function<void(bool)>> m_reads;
   std::vector<consensus::MemberIdentity> m_joining;
+  MemberContacts m_contacts;
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/replica_actions.cpp
+++ b/src/auburntrestle/fleet/replica_actions.cpp
@@ -239,6 +239,7 @@
   m_leader = aAction.m_leader;
   SetLeading(false);
   if (aAction.m_isLeader) {
+    m_contacts.Restart(MonotonicClock::Now());
     PrepareLeadership(aAction.m_term);
   }
 }
@@ -280,6 +281,8 @@
 
 void Replica::On(const consensus::JoinRequested& aAction)
 {
+  m_contacts.RecordJoinRequest(aAction.m_member.m_instance,
+                               MonotonicClock::Now());
   if (std::find(m_joining.begin(), m_joining.end(), aAction.m_member) !=
       m_joining.end()) {
     return;
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -235,17 +235,25 @@
   if (InstancesOf(aCommand.m_machine).empty()) {
     return CommandResult::NotFound;
   }
-  std::size_t remaining = 0;
-  for (const auto& [instance, record] : m_members) {
-    remaining += m_retiring.contains(record.m_machine) ? 0 : 1;
-  }
-  if (remaining <= aCommand.m_minRemaining) {
+  if (CountRemaining(aCommand) < aCommand.m_minRemaining) {
     return CommandResult::TooFewRemain;
   }
   m_retiring.insert(aCommand.m_machine);
   return CommandResult::Done;
 }
 
+std::size_t State::CountRemaining(const RetireMember& aCommand) const
+{
+  const auto& lost = aCommand.m_lost;
+  return static_cast<std::size_t>(
+    std::count_if(m_members.begin(), m_members.end(), [&](const auto& aItem) {
+      const auto& [instance, record] = aItem;
+      return record.m_machine != aCommand.m_machine &&
+             !m_retiring.contains(record.m_machine) &&
+             std::find(lost.begin(), lost.end(), instance) == lost.end();
+    }));
+}
+
 Job& State::AddJob(std::shared_ptr<const JobSpec> aSpec, WallTime aAcceptedAt)
 {
   Job job;
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -117,6 +117,8 @@
   CommandResult On(const PublishWeights& aCommand);
   CommandResult On(const AnnounceMember& aCommand);
   CommandResult On(const RetireMember& aCommand);
+  /** @return the number of members that remain in use after a retirement. */
+  [[nodiscard]] std::size_t CountRemaining(const RetireMember& aCommand) const;
   tl::expected<CommandResult, OutputStoreError> On(const AcceptJob& aCommand);
   tl::expected<CommandResult, OutputStoreError> On(
     const RecordResults& aCommand);
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -134,6 +134,8 @@
    * again. */
   [[nodiscard]] bool IsRepeated(const Command& aCommand) const;
   void ProposeLocally(const Command& aCommand, ProposalCallback aCallback);
+  /** @return a retirement with the stores that this leader found lost. */
+  [[nodiscard]] Command AddLostStores(RetireMember aCommand) const;
   /** Proposes an encoded command. A job for which there is no room has the
    * result NoRoom, so that nobody sends it again at once.
    * @param aJob the job that the command submits, if it does. */
--- a/src/auburntrestle/fleet/store_service_proposals.cpp
+++ b/src/auburntrestle/fleet/store_service_proposals.cpp
@@ -54,6 +54,9 @@
       return;
     }
     job = JobOf(*command);
+    if (const auto* retirement = std::get_if<RetireMember>(&*command)) {
+      aPayload = Encode(AddLostStores(*retirement));
+    }
   }
   ProposeEncoded(
     std::move(aPayload),
@@ -90,7 +93,20 @@
     aCallback(CommandResult::Done);
     return;
   }
-  ProposeEncoded(Encode(aCommand), JobOf(aCommand), std::move(aCallback));
+  const auto* retirement = std::get_if<RetireMember>(&aCommand);
+  ProposeEncoded(retirement != nullptr ? Encode(AddLostStores(*retirement))
+                                       : Encode(aCommand),
+                 JobOf(aCommand),
+                 std::move(aCallback));
+}
+
+Command StoreService::AddLostStores(RetireMember aCommand) const
+{
+  aCommand.m_lost = m_replica->FindLostStores();
+  LogLine(LogLevel::Info, "retirement_requested")
+    .Add("machine", aCommand.m_machine)
+    .Add("lost_stores", aCommand.m_lost.size());
+  return aCommand;
 }
 
 bool StoreService::TryStartReplication(const JobId& aJob, std::size_t aBytes)
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -276,12 +276,26 @@
   EXPECT_EQ(job->m_progress.at(0).m_lastEvent, 2U);
 }
 
+// Guards against a retirement in the log of an earlier build, which names no
+// lost instances, that an upgraded process cannot read.
+TEST_F(StateTest, ReadsARetirementOfAnEarlierBuild)
+{
+  const auto command =
+    DecodeCommand(earlier_build::FromHex("920592a86d616368696e653103"));
+  ASSERT_TRUE(command);
+  const auto& retirement = std::get<RetireMember>(*command);
+  EXPECT_EQ(retirement.m_machine, "machine1");
+  EXPECT_EQ(retirement.m_minRemaining, 3U);
+  EXPECT_TRUE(retirement.m_lost.empty());
+}
+
 struct RetireCase
 {
   std::size_t m_members;
   std::string m_machine;
   std::uint32_t m_minRemaining;
   CommandResult m_expected;
+  std::vector<InstanceId> m_lost = {};
 };
 
 class RetireTest
@@ -289,6 +303,8 @@
   , public testing::WithParamInterface<RetireCase>
 {};
 
+// Guards against a retirement that counts lost machines among those that
+// remain, so that the next loss of a disk leaves no majority.
 TEST_P(RetireTest, IsAllowedWhileEnoughRemain)
 {
   for (std::size_t member = 0; member < GetParam().m_members; ++member) {
@@ -296,7 +312,9 @@
                           "machine" + std::to_string(member),
                           DataCentreId("dc") });
   }
-  const RetireMember command{ GetParam().m_machine, GetParam().m_minRemaining };
+  const RetireMember command{ GetParam().m_machine,
+                              GetParam().m_minRemaining,
+                              GetParam().m_lost };
   EXPECT_EQ(Apply(command), GetParam().m_expected);
   EXPECT_EQ(m_state.IsRetiringMachine(GetParam().m_machine),
             GetParam().m_expected == CommandResult::Done);
@@ -307,7 +325,22 @@
   RetireTest,
   testing::Values(RetireCase{ 4, "machine1", 3, CommandResult::Done },
                   RetireCase{ 3, "machine1", 3, CommandResult::TooFewRemain },
-                  RetireCase{ 4, "other", 3, CommandResult::NotFound }));
+                  RetireCase{ 4, "other", 3, CommandResult::NotFound },
+                  RetireCase{ 4,
+                              "machine1",
+                              3,
+                              CommandResult::TooFewRemain,
+                              { InstanceId("1.1.1.1:3") } },
+                  RetireCase{ 5,
+                              "machine1",
+                              3,
+                              CommandResult::Done,
+                              { InstanceId("1.1.1.1:3") } },
+                  RetireCase{ 4,
+                              "machine1",
+                              3,
+                              CommandResult::Done,
+                              { InstanceId("1.1.1.1:1") } }));
 
 TEST_F(StateTest, ASnapshotRestoresEverything)
 {
