Keep a retiring voter in the log until it is replaced

Cause: the membership plan kept a lost voter until others reached the target number, but removed a retiring one at once. A new leader also took a voter that was gone for one in contact, because silence counts from the start of a leadership, and the retirement of a leader moves the leadership.

The fleet of the random test replaces machines under new names and moves the leadership of retiring leaders.

Why it works: no accepted retirement can take the log below the number of voters that the tolerated losses need, whatever the count was based on.

--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -86,6 +86,18 @@
                                             : found->second.m_dataCentre;
   }
 
+  /** @return whether a member replied recently, and to this leader: a member
+   * that is gone does not count as silent in the first time of a leader. */
+  [[nodiscard]] bool IsInContact(const Member& aMember) const
+  {
+    if (IsSelf(aMember)) {
+      return true;
+    }
+    const auto* progress = ProgressOf(aMember);
+    return progress != nullptr && progress->m_match > LogIndex(0) &&
+           !IsSilent(aMember, kContactTimeout);
+  }
+
   /** @return whether the voters in contact other than aLeaving form a majority
    * of all voters. */
   [[nodiscard]] bool HasMajorityWithout(const Member& aLeaving) const
@@ -95,14 +107,29 @@
     for (const Member& member : m_status.m_configuration.m_members) {
       if (member.m_role == MemberRole::Voter) {
         ++voters;
-        const bool isReachable =
-          member != aLeaving && !IsSilent(member, kContactTimeout);
+        const bool isReachable = member != aLeaving && IsInContact(member);
         reachable += isReachable ? 1 : 0;
       }
     }
     return reachable * 2 > voters;
   }
 
+  /** @return whether enough voters are there without a voter that is lost or
+   * retiring. Its disk may hold entries that the others lose, and fewer voters
+   * tolerate fewer losses. */
+  [[nodiscard]] bool IsReplaced(const Member& aVoter) const
+  {
+    const auto& members = m_status.m_configuration.m_members;
+    const auto remaining =
+      std::count_if(members.begin(), members.end(), [&](const Member& aMember) {
+        const bool isInUse =
+          aMember.m_role == MemberRole::Voter && IsInUse(aMember);
+        // Nothing is urgent about a retirement.
+        return isInUse && (!IsRetiring(aVoter) || IsInContact(aMember));
+      });
+    return static_cast<std::size_t>(remaining) >= m_policy.m_targetVoters;
+  }
+
   /** @return whether a member is neither retiring nor lost, by the timeout for
    * voters. */
   [[nodiscard]] bool IsInUse(const Member& aMember) const
@@ -166,7 +193,7 @@
     const Member* best = nullptr;
     for (const Member& member : m_status.m_configuration.m_members) {
       if (member.m_role != MemberRole::Learner || IsRetiring(member) ||
-          IsSilent(member, kContactTimeout) || !IsCaughtUp(member)) {
+          !IsInContact(member) || !IsCaughtUp(member)) {
         continue;
       }
       if (best == nullptr ||
@@ -214,12 +241,8 @@
     if (view.IsSelf(member) || (!lost && !retiring)) {
       continue;
     }
-    // A lost voter stays until it has been replaced, because its disk may hold
-    // entries that the others lose.
-    if (voter && lost && !retiring && voters < aPolicy.m_targetVoters) {
-      continue;
-    }
-    if (!voter || view.HasMajorityWithout(member)) {
+    if (!voter ||
+        (view.IsReplaced(member) && view.HasMajorityWithout(member))) {
       return consensus::RemoveMember{ member.m_identity.m_instance };
     }
   }
--- a/test/auburntrestle/consensus/cluster.cpp
+++ b/test/auburntrestle/consensus/cluster.cpp
@@ -292,6 +292,11 @@
   Step(aMember, ChangeMembership{ ProposalId(m_nextId++), aChange });
 }
 
+void Cluster::TransferLeadership(std::size_t aMember)
+{
+  Step(aMember, consensus::TransferLeadership{});
+}
+
 void Cluster::SetKnownMembers(std::size_t aMember,
                               const std::vector<InstanceId>& aMembers)
 {
--- a/test/auburntrestle/consensus/cluster.hpp
+++ b/test/auburntrestle/consensus/cluster.hpp
@@ -84,6 +84,8 @@
   /** Tells a member the instances of the log, as a leader does. */
   void SetKnownMembers(std::size_t aMember,
                        const std::vector<InstanceId>& aMembers);
+  /** Makes a leader hand over its leadership. */
+  void TransferLeadership(std::size_t aMember);
   /** Proposes and reads at every member that believes to be the leader. */
   void ProposeAndReadOnAllLeaders();
 
--- a/test/auburntrestle/fleet/membership_faults_test.cpp
+++ b/test/auburntrestle/fleet/membership_faults_test.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/consensus/cluster.hpp"
+#include "auburntrestle/fleet/member_contacts.hpp"
 #include "auburntrestle/fleet/membership_plan.hpp"
 
 #include <gtest/gtest.h>
@@ -23,10 +24,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kSeeds = 3;
-constexpr std::size_t kStores = 13;
 constexpr std::size_t kDataCentres = 4;
-constexpr std::size_t kToleratedLosses = 2;
-constexpr std::size_t kTargetVoters = 2 * kToleratedLosses + 1;
 constexpr Duration kRetireTime = seconds(10);
 constexpr Duration kPlanInterval = milliseconds(250);
 constexpr Duration kNoticeInterval = seconds(1);
@@ -37,6 +35,22 @@
 /** Limit for the acknowledgement of a command. */
 constexpr Duration kAcknowledgeLimit = seconds(5);
 
+/** The size of a deployment. */
+struct FleetSize
+{
+  std::size_t m_stores;
+  std::size_t m_toleratedLosses;
+
+  [[nodiscard]] std::size_t TargetVoters() const
+  {
+    return 2 * m_toleratedLosses + 1;
+  }
+};
+
+constexpr FleetSize kLargeFleet{ 13, 2 };
+/** One store more than the log needs. */
+constexpr FleetSize kSmallFleet{ 4, 1 };
+
 /**
  * The stores of a deployment in virtual time: members of one log, whose
  * membership is planned as in Replica, and stores outside the log.
@@ -44,19 +58,22 @@
 class StoreFleet
 {
 public:
-  explicit StoreFleet(std::uint64_t aSeed)
-    : m_outputs(std::move(*OutputStore::Open("/texts", m_files, 1)))
+  explicit StoreFleet(std::uint64_t aSeed, FleetSize aSize = kLargeFleet)
+    : m_size(aSize)
+    , m_outputs(std::move(*OutputStore::Open("/texts", m_files, 1)))
     , m_state(*m_outputs)
     , m_random(aSeed)
     , m_cluster(MakeOptions(aSeed))
   {
-    m_policy.m_targetVoters = kTargetVoters;
-    m_policy.m_targetLearners = kToleratedLosses + 1;
+    m_policy.m_targetVoters = m_size.TargetVoters();
+    m_policy.m_targetLearners = m_size.m_toleratedLosses + 1;
     m_cluster.m_onJoin = [this](std::size_t aLeader,
                                 const consensus::MemberIdentity& aMember) {
       AddJoining(m_joining[aLeader], aMember);
+      m_contacts[aLeader].RecordJoinRequest(aMember.m_instance,
+                                            m_cluster.LocalNow(aLeader));
     };
-    for (std::size_t store = 0; store < kStores; ++store) {
+    for (std::size_t store = 0; store < m_size.m_stores; ++store) {
       if (store >= kSeeds) {
         m_cluster.AddMember();
       }
@@ -128,14 +145,27 @@
     }
   }
 
+  /** Stores are lost for good with their machines, and new machines with empty
+   * stores take their place. */
+  void ReplaceMachines(const std::set<std::size_t>& aStores)
+  {
+    for (const auto store : aStores) {
+      m_cluster.EraseDisk(store);
+      m_gone.insert(store);
+    }
+    Run(seconds(1));
+    for (const auto store : aStores) {
+      const auto machine = m_machines.at(store);
+      Announce(m_cluster.AddMember(), machine + kNewMachines);
+    }
+  }
+
   /** Retires a store; its machine is removed once the leader reports that the
    * retirement has completed, and other stores lose their disks at once. */
   void Retire(std::size_t aStore, const std::set<std::size_t>& aEmptied)
   {
-    const auto minRemaining = static_cast<std::uint32_t>(kTargetVoters);
-    const auto accepted =
-      m_state.Apply(RetireMember{ MachineOf(aStore), minRemaining });
-    if (*accepted != CommandResult::Done) {
+    const auto accepted = RequestRetirement(aStore);
+    if (accepted != CommandResult::Done) {
       return;
     }
     const TimePoint end = m_cluster.Now() + kRetireTime;
@@ -216,7 +246,10 @@
                     static_cast<std::uint64_t>((aMax - aMin).count()))));
   }
 
-  std::size_t DrawCount() { return 1 + m_random.Below(kToleratedLosses); }
+  std::size_t DrawCount()
+  {
+    return 1 + m_random.Below(m_size.m_toleratedLosses);
+  }
   std::size_t DrawBelow(std::size_t aBound) { return m_random.Below(aBound); }
 
   [[nodiscard]] std::size_t CountStores() const
@@ -266,6 +299,20 @@
     aJoining.push_back(aMember);
   }
 
+  CommandResult RequestRetirement(std::size_t aStore)
+  {
+    RetireMember command{ MachineOf(aStore),
+                          static_cast<std::uint32_t>(m_size.TargetVoters()) };
+    if (const auto leader = m_cluster.Leader()) {
+      command.m_lost =
+        m_contacts[*leader].FindLost(m_cluster.Status(*leader),
+                                     m_state,
+                                     m_policy.m_storeLossTimeout,
+                                     m_cluster.LocalNow(*leader));
+    }
+    return *m_state.Apply(command);
+  }
+
   void Announce(std::size_t aStore, std::size_t aMachine)
   {
     m_machines.emplace(aStore, aMachine);
@@ -316,6 +363,7 @@
       const auto status = m_cluster.Status(store);
       if (!m_cluster.IsRunning(store) ||
           status.m_role != consensus::NodeRole::Leader) {
+        m_contacts[store].Restart(m_cluster.LocalNow(store));
         continue;
       }
       auto& joining = m_joining[store];
@@ -325,6 +373,8 @@
       if (const auto change = PlanMembership(
             m_policy, status, m_state, joining, m_cluster.LocalNow(store))) {
         m_cluster.Change(store, *change);
+      } else if (m_state.IsRetiring(status.m_identity.m_instance)) {
+        m_cluster.TransferLeadership(store);
       }
       if (m_cluster.Now() >= m_nextNotice) {
         m_nextNotice = m_cluster.Now() + kNoticeInterval;
@@ -348,12 +398,18 @@
     }
   }
 
+  /** Distance of the number of a machine to that of its successor; a multiple
+   * of kDataCentres, so that both are in the same one. */
+  static constexpr std::size_t kNewMachines = 100;
+
+  FleetSize m_size;
   consensus::test::MemoryFiles m_files;
   std::unique_ptr<OutputStore> m_outputs;
   State m_state;
   RandomSource m_random;
   Cluster m_cluster;
   MembershipPolicy m_policy;
+  std::map<std::size_t, MemberContacts> m_contacts;
   std::map<std::size_t, std::vector<consensus::MemberIdentity>> m_joining;
   /** The machine of each store; its remainder is the data centre. */
   std::map<std::size_t, std::size_t> m_machines;
@@ -453,13 +509,29 @@
   StoreFleet fleet(GetParam());
   constexpr int kReplacements = 6;
   for (int number = 0; number < kReplacements; ++number) {
-    fleet.Replace(fleet.Draw(kToleratedLosses));
+    fleet.Replace(fleet.Draw(kLargeFleet.m_toleratedLosses));
     fleet.Run(kCatchUpTime);
   }
   EXPECT_TRUE(fleet.AcknowledgesInTime()) << fleet.Log().Describe();
   EXPECT_TRUE(fleet.Log().Violations().empty()) << fleet.Log().Describe();
 }
 
+// Guards against a log that ends for good with one disk, because a retirement
+// counted a machine that had been replaced by another as one that remains.
+TEST_P(MembershipFaultsTest, ADiskIsLostAfterAReplacementAndRetirements)
+{
+  StoreFleet fleet(GetParam(), kSmallFleet);
+  fleet.ReplaceMachines(fleet.Draw(1));
+  fleet.Run(fleet.DrawTime(seconds(2), seconds(12)));
+  for (int number = 0; number < 2; ++number) {
+    fleet.Retire(*fleet.Draw(1).begin(), {});
+    fleet.Run(fleet.DrawTime(seconds(2), seconds(12)));
+  }
+  fleet.LoseDisks(fleet.Draw(1), seconds(2));
+  EXPECT_TRUE(fleet.AcknowledgesInTime()) << fleet.Log().Describe();
+  EXPECT_TRUE(fleet.Log().Violations().empty()) << fleet.Log().Describe();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          MembershipFaultsTest,
                          testing::Range(std::uint64_t{ 1 },
--- a/test/auburntrestle/fleet/membership_plan_test.cpp
+++ b/test/auburntrestle/fleet/membership_plan_test.cpp
@@ -183,8 +183,41 @@
   EXPECT_EQ(Plan(), "none");
 }
 
-// Guards against a member that lost its disk when all seeds it knows were
-// replaced: it must learn who leads, although the log still lists its address.
+// Guards against a log whose voters become too few for the losses that it has
+// to tolerate, because a retiring voter left although no learner could replace
+// it.
+TEST_F(MembershipPlanTest, KeepsARetiringVoterUntilItIsReplaced)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter);
+  Add("d", MemberRole::Learner, std::chrono::seconds(40));
+  ASSERT_EQ(*m_state.Apply(RetireMember{ "machine-b", 3 }),
+            CommandResult::Done);
+  EXPECT_EQ(Plan(), "remove d");
+  m_status.m_configuration.m_members.pop_back();
+  EXPECT_EQ(Plan(), "none");
+  Add("e", MemberRole::Learner);
+  EXPECT_EQ(Plan(), "promote e");
+  m_status.m_configuration.m_members.back().m_role = MemberRole::Voter;
+  EXPECT_EQ(Plan(), "remove b");
+}
+
+// Guards against a new leader that takes a voter which is gone for one that
+// replaces a retiring voter, because it has not been silent for long.
+TEST_F(MembershipPlanTest, ANewLeaderKeepsARetiringVoterUntilOthersReply)
+{
+  Add("a", MemberRole::Voter);
+  Add("b", MemberRole::Voter);
+  Add("c", MemberRole::Voter);
+  Add("gone", MemberRole::Voter, Duration::zero(), 0);
+  ASSERT_EQ(*m_state.Apply(RetireMember{ "machine-b", 3 }),
+            CommandResult::Done);
+  EXPECT_EQ(Plan(), "none");
+  m_status.m_progress.back().m_match = LogIndex(100);
+  EXPECT_EQ(Plan(), "remove b");
+}
+
 // Guards against a machine that is removed with its disk while the log may
 // still return to a configuration that needs it.
 TEST_F(MembershipPlanTest, ARetirementCompletesOnceItsRemovalIsCommitted)
@@ -208,6 +241,8 @@
   EXPECT_EQ(retirement(), Retirement::Completed);
 }
 
+// Guards against a member that lost its disk when all seeds it knows were
+// replaced: it must learn who leads, although the log still lists its address.
 TEST_F(MembershipPlanTest, SilentMembersAndNonMembersAreNotified)
 {
   Add("a", MemberRole::Voter);
