Fail calls whose response has a status outside the protocol

Here its body became the start of the next response of the connection, which arrived as a success; without a next one the call lasted until its timeout. Statuses from 600 on were passed on.

Cause: the parser took every status below 200 for an interim response and kept the body of one, which interim responses do not have.

Change: KindOf sorts statuses into interim, final and invalid for both HTTP clients. An invalid one, and 101, fails the call when the head is in; an interim response has no body.

--- a/src/auburntrestle/backend/http_client.cpp
+++ b/src/auburntrestle/backend/http_client.cpp
@@ -1,5 +1,7 @@
 #include "auburntrestle/backend/http_client.hpp"
 
+#include "auburntrestle/http/message.hpp"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -55,15 +57,20 @@
     return m_receivedBytes <= m_call.m_maxResponseBytes;
   }
 
+  [[nodiscard]] int Status() const
+  {
+    long status = 0;
+    curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+  }
+
   void ReportHeaders()
   {
     if (m_headersReported) {
       return;
     }
     m_headersReported = true;
-    long status = 0;
-    curl_easy_getinfo(m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    m_result.m_httpStatus = static_cast<int>(status);
+    m_result.m_httpStatus = Status();
     if (m_handlers.m_onHeaders) {
       m_handlers.m_onHeaders(m_result.m_httpStatus);
     }
@@ -115,10 +122,14 @@
     return kAbortTransfer;
   }
   if (line == "\r\n") {
-    long status = 0;
-    curl_easy_getinfo(transfer->m_easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    if (status >= 200) {
-      transfer->ReportHeaders();
+    switch (http::KindOf(transfer->Status())) {
+      case http::StatusKind::Invalid:
+        return kAbortTransfer;
+      case http::StatusKind::Final:
+        transfer->ReportHeaders();
+        break;
+      case http::StatusKind::Interim:
+        break;
     }
   } else {
     StoreHeader(*transfer, line);
--- a/src/auburntrestle/http/internal/parser.cpp
+++ b/src/auburntrestle/http/internal/parser.cpp
@@ -10,7 +10,7 @@
 // Return values of http_parser callbacks.
 constexpr int kContinueParsing = 0;
 constexpr int kSkipBody = 1;
-constexpr int kFirstFinalStatus = 200;
+constexpr int kStopParsing = -1;
 /** Strings up to this size need no allocation. */
 constexpr std::size_t kInlineStringBytes = 15;
 /** What an allocation takes beside its contents. */
@@ -70,8 +70,17 @@
       };
     settings.on_headers_complete = [](http_parser* aParser) {
       auto& self = FromHandle(aParser);
+      const StatusKind kind = self.GetStatusKind();
+      if (kind == StatusKind::Invalid) {
+        return kStopParsing;
+      }
       if (self.m_progress == Progress::Headers) {
         self.FinishField();
+      }
+      if (kind == StatusKind::Interim) {
+        return kSkipBody;
+      }
+      if (self.m_progress == Progress::Headers) {
         self.m_progress = Progress::Body;
         self.m_keepAlive = http_should_keep_alive(aParser) != 0;
         if (aParser->content_length != kNoContentLength) {
@@ -86,9 +95,7 @@
     };
     settings.on_message_complete = [](http_parser* aParser) {
       auto& self = FromHandle(aParser);
-      if (self.m_kind == MessageKind::Response &&
-          aParser->status_code < kFirstFinalStatus) {
-        // An interim (1xx) response precedes the final one.
+      if (self.GetStatusKind() == StatusKind::Interim) {
         self.m_headers = Headers();
         self.m_progress = Progress::Headers;
         return kContinueParsing;
@@ -179,6 +186,11 @@
   return http_method_str(static_cast<http_method>(m_parser.method));
 }
 
+StatusKind Parser::GetStatusKind() const noexcept
+{
+  return m_kind == MessageKind::Request ? StatusKind::Final : KindOf(Status());
+}
+
 int Parser::Status() const noexcept
 {
   return static_cast<int>(m_parser.status_code);
--- a/src/auburntrestle/http/internal/parser.hpp
+++ b/src/auburntrestle/http/internal/parser.hpp
@@ -82,6 +82,8 @@
   [[nodiscard]] bool KeepAlive() const noexcept { return m_keepAlive; }
 
 private:
+  /** @return what the status means; Final for a request. */
+  [[nodiscard]] StatusKind GetStatusKind() const noexcept;
   static Parser& FromHandle(http_parser* aParser);
   static const http_parser_settings& Settings();
   void FinishField();
--- a/src/auburntrestle/http/message.cpp
+++ b/src/auburntrestle/http/message.cpp
@@ -178,6 +178,19 @@
   return kept;
 }
 
+StatusKind KindOf(int aStatus) noexcept
+{
+  constexpr int kFirstInterim = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kFirstFinal = 200;
+  constexpr int kLastFinal = 599;
+  if (aStatus < kFirstInterim || aStatus > kLastFinal ||
+      aStatus == kSwitchingProtocols) {
+    return StatusKind::Invalid;
+  }
+  return aStatus < kFirstFinal ? StatusKind::Interim : StatusKind::Final;
+}
+
 std::string_view ReasonPhrase(int aStatus) noexcept
 {
   // NOLINTBEGIN(readability-magic-numbers)
--- a/src/auburntrestle/http/message.hpp
+++ b/src/auburntrestle/http/message.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_HTTP_MESSAGE_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,6 +71,18 @@
  */
 [[nodiscard]] Headers EndToEndHeaders(const Headers& aHeaders);
 
+/** What the status code of a response means for the call. */
+enum class StatusKind : std::uint8_t
+{
+  /** The response precedes the final one and has no body. */
+  Interim,
+  Final,
+  /** No response in the protocol, or one that was not asked for. */
+  Invalid,
+};
+
+[[nodiscard]] StatusKind KindOf(int aStatus) noexcept;
+
 /** @return the reason phrase of a status code. */
 [[nodiscard]] std::string_view ReasonPhrase(int aStatus) noexcept;
 
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -153,6 +153,70 @@
                   .m_body = "body" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+struct StatusCase
+{
+  std::string m_name;
+  /** The first piece that the server sends; the rest follows later. */
+  std::string m_first;
+  std::string m_rest = {};
+  /** Absent when there is no response. */
+  std::optional<std::string> m_body = std::nullopt;
+};
+
+class StatusTest
+  : public ClientTest
+  , public testing::WithParamInterface<StatusCase>
+{};
+
+// Guards against bytes with a status outside the protocol, such as 000, that
+// count as a response or become part of the next one.
+TEST_P(StatusTest, AcceptsOnlyStatusesOfTheProtocol)
+{
+  constexpr Duration kPause = std::chrono::milliseconds(20);
+  RawServer server(m_loop, [&](RawPeer& aPeer) {
+    aPeer.Send(GetParam().m_first);
+    if (!GetParam().m_rest.empty()) {
+      m_loop.After(kPause, [&aPeer] { aPeer.Send(GetParam().m_rest); });
+    }
+  });
+  const auto response = Call(server.Address());
+  ASSERT_EQ(response.has_value(), GetParam().m_body.has_value());
+  if (response) {
+    EXPECT_EQ(response->m_body, *GetParam().m_body);
+  } else {
+    EXPECT_EQ(response.error(), CallFailure::Malformed);
+  }
+}
+
+std::string HeadWithStatus(const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nContent-Length: 4\r\n\r\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Statuses,
+  StatusTest,
+  testing::Values(
+    StatusCase{ "zero", HeadWithStatus("000") + "body" },
+    StatusCase{ "zero_in_pieces", HeadWithStatus("000"), "body" },
+    StatusCase{ "zero_before_response",
+                HeadWithStatus("000 Error") + "none" + kCompleteResponse },
+    StatusCase{ "two_digits", HeadWithStatus("99 Error") + "body" },
+    StatusCase{ "beyond_the_classes", HeadWithStatus("600 Error") + "body" },
+    StatusCase{ "three_nines", HeadWithStatus("999 Error"), "body" },
+    StatusCase{ "switching_protocols",
+                "HTTP/1.1 101 Switching Protocols\r\n\r\n" },
+    StatusCase{ "interim_with_body",
+                HeadWithStatus("102 Processing"),
+                std::string("none") + kCompleteResponse },
+    StatusCase{ "interim_with_length",
+                HeadWithStatus("103 Early Hints"),
+                kCompleteResponse,
+                "body" },
+    StatusCase{ "first_final", HeadWithStatus("200 OK"), "body", "body" },
+    StatusCase{ "last_final", HeadWithStatus("599 Error"), "body", "body" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against a late second response that is taken for the response to the
 // next request on the connection.
 TEST_F(ClientTest, BytesOnAnIdleConnectionCloseIt)
