End the longest response when all of them exceed their limit

What callers saw: with backend servers that send without end, or long responses that never finish, calls to healthy servers failed as too large.

Cause: at the limit of all responses in progress, the call whose bytes came next was ended, whichever it was.

Change: the pool knows its calls in progress and ends the one with the longest response until the limit holds. Its handlers run later, since they may start or cancel calls.

Evidence: ClientTest.TheLongestResponseMakesRoomForOthers failed before: the ordinary call got too_large.

--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -76,6 +76,27 @@
   }
 }
 
+void ClientPool::AddReceiving(ClientConnection& aConnection)
+{
+  m_receiving.insert(&aConnection);
+}
+
+void ClientPool::RemoveReceiving(ClientConnection& aConnection)
+{
+  m_receiving.erase(&aConnection);
+}
+
+void ClientPool::EnforceLimit()
+{
+  while (m_receivedBytes > m_options.m_maxReceivedBytes) {
+    const auto longest = std::max_element(
+      m_receiving.begin(), m_receiving.end(), [](auto* aFirst, auto* aSecond) {
+        return aFirst->ReceivedBytes() < aSecond->ReceivedBytes();
+      });
+    (*longest)->Shed();
+  }
+}
+
 ClientConnection::ClientConnection(std::shared_ptr<ClientPool> aPool,
                                    std::string aAddress)
   : m_pool(std::move(aPool))
@@ -84,12 +105,18 @@
 {
 }
 
+ClientConnection::~ClientConnection()
+{
+  ReleaseReceived();
+}
+
 void ClientConnection::StartCall(const Request& aRequest,
                                  const CallOptions& aOptions,
                                  CallHandlers aHandlers)
 {
   CancelTimer(m_stageTimer);
   m_handlers = std::move(aHandlers);
+  m_pool->AddReceiving(*this);
   m_output = Serialise(aRequest);
   m_correlation = aOptions.m_correlation;
   m_expectsNoBody = aRequest.m_method == "HEAD";
@@ -204,11 +231,15 @@
 
 void ClientConnection::HandleBytes(std::string_view aBytes)
 {
-  if (!CountReceived(aBytes.size())) {
+  const auto self = shared_from_this();
+  CountReceived(aBytes.size());
+  if (m_closed) {
+    return;
+  }
+  if (m_receivedBytes > m_maxResponseBytes) {
     Finish(tl::make_unexpected(CallFailure::TooLarge));
     return;
   }
-  const auto self = shared_from_this();
   bool isForeign = false;
   do {
     aBytes.remove_prefix(m_parser.Feed(aBytes));
@@ -260,20 +291,34 @@
   }
 }
 
-bool ClientConnection::CountReceived(std::size_t aBytes)
+void ClientConnection::CountReceived(std::size_t aBytes)
 {
   m_receivedBytes += aBytes;
   m_pool->m_receivedBytes += aBytes;
-  return m_receivedBytes <= m_maxResponseBytes &&
-         m_pool->m_receivedBytes <= m_pool->m_options.m_maxReceivedBytes;
+  m_pool->EnforceLimit();
 }
 
-std::optional<CallHandlers> ClientConnection::ExtractHandlers()
+void ClientConnection::ReleaseReceived()
 {
+  m_pool->RemoveReceiving(*this);
   m_pool->m_receivedBytes -= std::exchange(m_receivedBytes, 0);
+}
+
+std::optional<CallHandlers> ClientConnection::ExtractHandlers()
+{
+  ReleaseReceived();
   return std::exchange(m_handlers, std::nullopt);
 }
 
+void ClientConnection::Shed()
+{
+  ReleaseReceived();
+  Close();
+  m_pool->m_loop.Post([self = shared_from_this()] {
+    self->Finish(tl::make_unexpected(CallFailure::TooLarge));
+  });
+}
+
 void ClientConnection::ReportProgress()
 {
   if (m_parser.GetProgress() == Progress::Headers) {
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,6 +33,11 @@
   void RemoveIdle(const ClientConnection& aConnection);
   void Close(const std::string& aAddress);
   void CloseAll();
+  void AddReceiving(ClientConnection& aConnection);
+  void RemoveReceiving(ClientConnection& aConnection);
+  /** Ends calls until all responses in progress are within their limit, those
+   * with the longest responses first. */
+  void EnforceLimit();
 
   event_loop::EventLoop& m_loop;
   ClientOptions m_options;
@@ -42,6 +48,8 @@
   std::unordered_map<std::string,
                      std::vector<std::shared_ptr<ClientConnection>>>
     m_idle;
+  /** The connections with a call in progress. */
+  std::set<ClientConnection*> m_receiving;
 };
 
 /** One connection to a server, idle or with one call in progress. */
@@ -49,6 +57,9 @@
 {
 public:
   ClientConnection(std::shared_ptr<ClientPool> aPool, std::string aAddress);
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+  ~ClientConnection();
 
   /** Starts a call, after connecting if the connection is new. */
   void StartCall(const Request& aRequest,
@@ -57,11 +68,20 @@
   /** Ends the call without calling its handlers. */
   void Cancel();
   void Close();
+  /** Closes the connection and ends its call as one whose response is too
+   * large. The handlers are called later, since they may start or cancel calls.
+   */
+  void Shed();
 
   [[nodiscard]] const std::string& Address() const noexcept
   {
     return m_address;
   }
+  /** @return the bytes received for the response in progress. */
+  [[nodiscard]] std::size_t ReceivedBytes() const noexcept
+  {
+    return m_receivedBytes;
+  }
 
 private:
   static constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
@@ -78,9 +98,11 @@
   bool DiscardForeign();
   /** Prepares the parser for the next response. */
   void ResetParser();
-  /** Adds received bytes to the response in progress.
-   * @return whether it is within its limits. */
-  [[nodiscard]] bool CountReceived(std::size_t aBytes);
+  /** Adds received bytes to the response in progress, and ends calls if all
+   * responses together exceed their limit. */
+  void CountReceived(std::size_t aBytes);
+  /** The response in progress no longer counts. */
+  void ReleaseReceived();
   /** Ends the call; its response no longer counts. @return its handlers. */
   std::optional<CallHandlers> ExtractHandlers();
   void ReportProgress();
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -534,5 +534,46 @@
   });
 }
 
+// Guards against servers in trouble whose long responses end the calls to other
+// servers, because they use up the limit of all responses.
+TEST_F(ClientTest, TheLongestResponseMakesRoomForOthers)
+{
+  constexpr std::size_t kTroubled = 4;
+  constexpr std::size_t kMaxReceivedBytes = std::size_t{ 512 } * 1024;
+  RawServer troubled(m_loop, [](RawPeer& aPeer) {
+    std::string response = "HTTP/1.1 200 OK\r\n\r\n";
+    response.resize(kMaxReceivedBytes / kTroubled, 'x');
+    aPeer.SendAll(response);
+  });
+  RawServer ordinary(m_loop,
+                     [](RawPeer& aPeer) { aPeer.Send(kCompleteResponse); });
+  ClientOptions options;
+  options.m_maxReceivedBytes = kMaxReceivedBytes;
+  Client client(m_loop, options);
+  Request request;
+  request.m_method = "GET";
+  request.m_target = "/";
+  std::vector<CallFailure> failures;
+  for (std::size_t count = 0; count < kTroubled; ++count) {
+    std::ignore = Fetch(
+      client, troubled.Address(), request, {}, [&](FetchResult aResponse) {
+        failures.push_back(aResponse.error());
+      });
+  }
+  RunUntil(m_loop, [&] { return client.ReceivedBytes() == kMaxReceivedBytes; });
+  std::optional<FetchResult> response;
+  const auto call =
+    Fetch(client, ordinary.Address(), request, {}, [&](FetchResult aResponse) {
+      response = std::move(aResponse);
+    });
+  RunUntil(m_loop, [&] {
+    EXPECT_LE(client.ReceivedBytes(), kMaxReceivedBytes);
+    return response.has_value() && !failures.empty();
+  });
+  ASSERT_TRUE(*response);
+  EXPECT_EQ((*response)->m_body, "body");
+  EXPECT_EQ(failures, std::vector{ CallFailure::TooLarge });
+}
+
 } // namespace
 } // namespace auburntrestle::http
--- a/test/auburntrestle/http/raw_peer.hpp
+++ b/test/auburntrestle/http/raw_peer.hpp
@@ -67,6 +67,16 @@
     asio::write(m_socket, asio::buffer(aBytes), ignored);
   }
 
+  /** Sends bytes of any length while the loop runs. */
+  void SendAll(const std::string& aBytes)
+  {
+    auto bytes = std::make_shared<std::string>(aBytes);
+    asio::async_write(m_socket,
+                      asio::buffer(*bytes),
+                      [self = shared_from_this(),
+                       bytes](const asio::error_code&, std::size_t) {});
+  }
+
   /** Sends bytes again and again until the other end closes. */
   void SendForever(const std::string& aBytes)
   {
