--- /dev/null
+++ b/test/platform/endless_servers_test.cpp
@@ -0,0 +1,214 @@
+#include "auburntrestle/http/raw_peer.hpp"
+#include "platform/small_deployment.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace auburntrestle::platform::test {
+namespace {
+
+using http::test::RawPeer;
+using http::test::RawServer;
+
+/** What a server in trouble sends to each request: a start, and then the same
+ * bytes again and again. */
+struct EndlessCase
+{
+  std::string m_name;
+  std::string m_start;
+  std::string m_repeated;
+};
+
+/** A small deployment with two servers that send without end: one for short
+ * requests, and one that is the only engine. */
+class EndlessServersTest
+  : public SmallDeployment
+  , public testing::TestWithParam<EndlessCase>
+{
+protected:
+  static constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
+
+  static std::function<void(RawPeer&)> MakeScript()
+  {
+    std::string piece;
+    while (piece.size() < kPieceBytes) {
+      piece += GetParam().m_repeated;
+    }
+    return [piece](RawPeer& aPeer) {
+      if (AsksForReport(aPeer.Received())) {
+        aPeer.Send(Report());
+        return;
+      }
+      aPeer.Send(GetParam().m_start);
+      aPeer.SendForever(piece);
+    };
+  }
+
+  /** @return whether the last request of a connection asks for the report of an
+   * engine. Without a proper one, an engine gets no items. */
+  [[nodiscard]] static bool AsksForReport(const std::string& aReceived)
+  {
+    const auto line = aReceived.rfind(" HTTP/1.1\r\n");
+    const std::string report = "GET " + std::string(names::kReportPath);
+    return line != std::string::npos &&
+           aReceived.substr(0, line).ends_with(report);
+  }
+
+  [[nodiscard]] static std::string Report()
+  {
+    const std::string body = Json{
+      { "models", { { { "name", "m" }, { "version", 1 } } } },
+      { "busy", false },
+      { "sequence", 0 }
+    }.dump();
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+
+  [[nodiscard]] static std::string MakeJob()
+  {
+    constexpr int kItems = 16;
+    Json items = Json::array();
+    for (int item = 0; item < kItems; ++item) {
+      items.push_back({ { "id", "item" + std::to_string(item) },
+                        { "path", "/jobs/1/x" },
+                        { "headers", { { "X-Model", "m" } } },
+                        { "body", "cHJvbXB0" },
+                        { "tokens", 100 },
+                        { "group", "g" } });
+    }
+    return Json{
+      { "step", 0 },
+      { "model", "m" },
+      { "min_version", 1 },
+      { "target_groups", 1 },
+      { "requests", items }
+    }.dump();
+  }
+
+  /** @return whether the engine got an item. */
+  [[nodiscard]] bool HasRunItem()
+  {
+    for (std::size_t peer = 0; peer < m_troubledEngine.AcceptedCount();
+         ++peer) {
+      const auto& received = m_troubledEngine.Peer(peer).Received();
+      if (received.find("POST /jobs/1/x") != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  [[nodiscard]] static Json ConfigurationWithEngines()
+  {
+    Json configuration = Configuration();
+    configuration["routes"].push_back(
+      Json::parse(R"({"name":"jobs","host":"app.example",
+        "path_prefix":"/jobs/","route_type":"rollout","timeout_ms":9000,
+        "latency_target_ms":400,"priority":1,"service":"engines",
+        "max_attempts":3,"queue_ttl_s":40,"target_done_ms":7500,
+        "single_version":false})"));
+    configuration["services"].push_back(Json::parse(R"({"name":"engines",
+        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false,
+        "engine":{"slots":4,"kv_cache_tokens":1000,
+        "models":[{"name":"m"}]}})"));
+    return configuration;
+  }
+
+  void Announce(const std::string& aId,
+                const std::string& aService,
+                const RawServer& aServer)
+  {
+    const Json heartbeat{ { "service", aService },
+                          { "address", aServer.Address() },
+                          { "zone", "zone-a" },
+                          { "version", "v1" },
+                          { "slots", 4 },
+                          { "state", "ready" },
+                          { "cold_left_ms", 0 },
+                          { "stage", "both" },
+                          { "models",
+                            { { { "name", "m" },
+                                { "version", 1 },
+                                { "adapters", Json::array() } } } },
+                          { "sequence", 1 },
+                          { "born", 1000 } };
+    SendUntilServed(Target::Control,
+                    "PUT",
+                    "/auburntrestle/instances/" + aId,
+                    heartbeat.dump());
+  }
+
+  /** Sends many short requests at once, of which the troubled server gets a
+   * part, and waits for their responses. */
+  void SendManyRequests()
+  {
+    constexpr int kRequests = 32;
+    int open = kRequests;
+    for (int request = 0; request < kRequests; ++request) {
+      StartRequest(
+        Target::Callers, "POST", "/plain/x", "query", [&](std::optional<int>) {
+          --open;
+        });
+    }
+    RunUntil([&] { return open == 0; });
+  }
+
+  RawServer m_troubled{ m_loop, MakeScript() };
+  RawServer m_troubledEngine{ m_loop, MakeScript() };
+};
+
+// Guards against a server in trouble that sends without end, in a head or in a
+// body: the process that called it kept all bytes, ran out of memory, and the
+// requests of others ended with it.
+TEST_P(EndlessServersTest, LeaveRoomForOthers)
+{
+  SetUpService(ConfigurationWithEngines());
+  Announce("i-2", "samplers", m_troubled);
+  Announce("e-1", "engines", m_troubledEngine);
+  while (Send(Target::Callers, "POST", "/jobs/a", MakeJob()) != 202) {
+    WaitFor(std::chrono::milliseconds(20));
+  }
+  RunUntil([&] { return HasRunItem(); });
+  constexpr int kRounds = 5;
+  for (int round = 0; round < kRounds; ++round) {
+    SendManyRequests();
+    WaitFor(std::chrono::milliseconds(100));
+  }
+  SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
+  SendUntilServed(Target::Control, "GET", "/auburntrestle/config");
+  EXPECT_GT(m_troubled.AcceptedCount(), 0U);
+  for (const auto& [name, process] : m_processes) {
+    const std::size_t memory = process.PeakMemory();
+    RecordProperty(name + "_peak_mib", std::to_string(memory / kMebibyte));
+    EXPECT_GT(memory, 0U) << name;
+    EXPECT_LE(memory, kMemoryMebibytes * kMebibyte) << name;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  EndlessServersTest,
+  testing::Values(
+    EndlessCase{ "header_line", "HTTP/1.1 200 OK\r\nName: ", "value" },
+    EndlessCase{ "header_fields", "HTTP/1.1 200 OK\r\n", "Name: value\r\n" },
+    EndlessCase{ "interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    EndlessCase{ "body_without_length", "HTTP/1.1 200 OK\r\n\r\n", "bytes" },
+    EndlessCase{ "body_with_length",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                 "bytes" },
+    EndlessCase{ "chunks",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                 "5\r\nbytes\r\n" },
+    EndlessCase{ "events",
+                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+                 "id: 1\ndata: x\n\n" },
+    EndlessCase{ "event_without_end",
+                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                 "id: 1\ndata: ",
+                 "x" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+} // namespace
+} // namespace auburntrestle::platform::test
--- a/test/platform/untrusted_clients_test.cpp
+++ b/test/platform/untrusted_clients_test.cpp
@@ -1,43 +1,19 @@
-#include "auburntrestle/http/client.hpp"
-#include "platform/instance_files.hpp"
-#include "platform/names.hpp"
-#include "platform/sampler.hpp"
-#include "support/process.hpp"
+#include "platform/small_deployment.hpp"
 
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
-#include <filesystem>
 #include <functional>
-#include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace auburntrestle::platform::test {
 namespace {
 
-using auburntrestle::test::Process;
-
-constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
-/** The memory of each machine in these tests, and its descriptors. */
-constexpr std::size_t kMemoryMebibytes = 48;
-constexpr std::size_t kDescriptors = 512;
 /** Clients of a crowd. */
 constexpr int kCrowd = 800;
-constexpr auto kHost = "app.example";
-
-/** The address that a crowd connects to. */
-enum class Target : std::uint8_t
-{
-  Callers,
-  Readiness,
-  EntryMetrics,
-  Control,
-  StoreMetrics,
-};
 
 /** What each client of a crowd sends before it stops and stays connected. */
 struct CrowdCase
@@ -149,119 +125,12 @@
   return {};
 }
 
-/** A store and an entry instance as real processes on small machines, and a
- * crowd of clients at one of their addresses. */
-class UntrustedClientsTest : public testing::TestWithParam<CrowdCase>
+/** A small deployment, and a crowd of clients at one of its addresses. */
+class UntrustedClientsTest
+  : public SmallDeployment
+  , public testing::TestWithParam<CrowdCase>
 {
 protected:
-  UntrustedClientsTest()
-    : m_folder(std::filesystem::temp_directory_path() /
-               ("trestle-crowd-" + std::to_string(::getpid())))
-  {
-    std::filesystem::create_directories(m_folder);
-    InstanceFile store;
-    store.m_name = "store";
-    store.m_peers = m_ports.Address();
-    store.m_control = m_ports.Address();
-    store.m_metrics = m_ports.Address();
-    store.m_dataFolder = m_folder / "data";
-    store.m_bootstrap = true;
-    store.m_toleratedLosses = 0;
-    Start(store, store.m_peers);
-    InstanceFile entry;
-    entry.m_name = "entry";
-    entry.m_peers = m_ports.Address();
-    entry.m_callers = m_ports.Address();
-    entry.m_readiness = m_ports.Address();
-    entry.m_metrics = m_ports.Address();
-    Start(entry, store.m_peers);
-    m_addresses = { { Target::Callers, entry.m_callers },
-                    { Target::Readiness, entry.m_readiness },
-                    { Target::EntryMetrics, entry.m_metrics },
-                    { Target::Control, store.m_control },
-                    { Target::StoreMetrics, store.m_metrics } };
-  }
-
-  ~UntrustedClientsTest() override
-  {
-    m_processes.clear();
-    std::filesystem::remove_all(m_folder);
-  }
-
-  void Start(InstanceFile aFile, const std::string& aSeed)
-  {
-    aFile.m_furtherTables =
-      "[limits]\nmemory_mb = " + std::to_string(kMemoryMebibytes) +
-      "\ndescriptors = " + std::to_string(kDescriptors) +
-      "\nresponse_mb = 4\nreceived_mb = 8\nrequest_bodies_mb = 8\n"
-      "replicated_jobs_mb = 8\n";
-    m_processes.insert_or_assign(aFile.m_name,
-                                 aFile.Start(m_folder, { aSeed }));
-  }
-
-  /** @return the status of an ordinary request, or nothing. */
-  std::optional<int> Send(Target aTarget,
-                          const std::string& aMethod,
-                          const std::string& aPath,
-                          const std::string& aBody = {})
-  {
-    http::Request request;
-    request.m_method = aMethod;
-    request.m_target = aPath;
-    request.m_headers.Add("Host", kHost);
-    request.m_headers.Add(names::kRequestId, "r" + std::to_string(++m_sent));
-    request.m_headers.Add(names::kTimeLeftMs, "2000");
-    request.m_body = aBody;
-    http::Client client(m_loop, {});
-    std::optional<http::FetchResult> response;
-    std::ignore = http::Fetch(
-      client,
-      m_addresses.at(aTarget),
-      request,
-      {},
-      [&](http::FetchResult aResponse) { response = std::move(aResponse); });
-    while (!response) {
-      m_loop.Context().run_one();
-    }
-    return *response ? std::optional((*response)->m_status) : std::nullopt;
-  }
-
-  /** Sends a request again and again until it is answered with 200. */
-  void SendUntilServed(Target aTarget,
-                       const std::string& aMethod,
-                       const std::string& aPath,
-                       const std::string& aBody = {})
-  {
-    while (Send(aTarget, aMethod, aPath, aBody) != 200) {
-      bool waited = false;
-      m_loop.After(std::chrono::milliseconds(20), [&] { waited = true; });
-      while (!waited) {
-        m_loop.Context().run_one();
-      }
-    }
-  }
-
-  void SetUpService()
-  {
-    SendUntilServed(
-      Target::Control,
-      "PUT",
-      "/auburntrestle/config",
-      R"({"version":1,"routes":[{"name":"plain","host":"app.example",
-        "path_prefix":"/plain/","route_type":"idempotent","timeout_ms":2000,
-        "latency_target_ms":150,"priority":1,"service":"samplers",
-        "max_attempts":2}],"services":[{"name":"samplers",
-        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false}],
-        "limits":{"header_bytes":16384,"body_bytes":1000000,
-        "header_ms":3000,"idle_timeout_ms":15000}})");
-    SendUntilServed(Target::Control,
-                    "PUT",
-                    "/auburntrestle/instances/i-1",
-                    m_sampler.Heartbeat("samplers", "ready"));
-    SendUntilServed(Target::Readiness, "GET", "/auburntrestle/ready");
-    SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
-  }
-
   /** Connects a client, which sends its bytes as far as they are taken. */
   void Connect(const std::string& aAddress, const std::string& aBytes)
   {
@@ -294,14 +163,7 @@
     SendUntilServed(Target::StoreMetrics, "GET", "/metrics");
   }
 
-  event_loop::EventLoop m_loop;
-  Sampler m_sampler{ m_loop, "i-1", "m" };
-  PortSource m_ports;
-  std::filesystem::path m_folder;
-  std::map<std::string, Process> m_processes;
-  std::map<Target, std::string> m_addresses;
   std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_crowd;
-  int m_sent = 0;
 };
 
 // Guards against clients that fill the memory or use up the descriptors of a
