--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -22,13 +22,9 @@
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1000);
 /** Routes that were not confirmed for this long may be out of date. */
 constexpr Duration kMaxRoutesAge = std::chrono::milliseconds(1500);
-/** Callers read results about twice a second, and try another instance when a
- * read takes much longer. */
-constexpr Duration kReadTimeout = std::chrono::milliseconds(1300);
 constexpr Duration kPermitTimeout = std::chrono::milliseconds(100);
 constexpr Duration kMinPermitDelay = std::chrono::milliseconds(10);
 constexpr Duration kPermitRetryDelay = std::chrono::milliseconds(200);
-constexpr Duration kEndJobTimeout = std::chrono::milliseconds(2000);
 
 SubmitOutcome OutcomeOf(const tl::expected<CommandResult, LinkError>& aResult)
 {
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -60,6 +60,13 @@
     m_onConfiguration = std::move(aCallback);
   }
 
+  /** Time limit of reading results, beside the wait for new ones, or the body
+   * of an item. Callers read results about twice a second, and try another
+   * instance when a read takes much longer. */
+  static constexpr Duration kReadTimeout = std::chrono::milliseconds(1300);
+  /** Time limit of ending a job. */
+  static constexpr Duration kEndJobTimeout = std::chrono::milliseconds(2000);
+
   /** @return the routes in force, or null while none are known. */
   [[nodiscard]] std::shared_ptr<const RouteTable> Routes() const
   {
@@ -80,6 +87,12 @@
     std::string_view aHost,
     std::string_view aKey) const;
 
+  /** @return the longest time that a request of a route may take. */
+  [[nodiscard]] Duration TimeLimit(const http::Request& aRequest,
+                                   const Route& aRoute) const
+  {
+    return m_relay.TimeLimit(aRequest, aRoute);
+  }
   /** Relays a request of a route to a backend server. */
   void Relay(const std::shared_ptr<http::Exchange>& aExchange,
              const Route& aRoute,
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -23,26 +23,6 @@
 /** A request with less time left is not sent to a backend server. */
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(10);
 
-Duration TimeLimit(const http::Request& aRequest,
-                   const Route& aRoute,
-                   const std::string& aHeader)
-{
-  Duration limit = aRoute.m_timeout;
-  if (const auto field = aRequest.m_headers.Find(aHeader)) {
-    std::int64_t milliseconds = 0;
-    const auto result = std::from_chars(
-      field->data(), field->data() + field->size(), milliseconds);
-    // Compared in milliseconds: a large number would overflow as a Duration.
-    const bool isShorter =
-      milliseconds <
-      std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
-    if (result.ec == std::errc() && milliseconds >= 0 && isShorter) {
-      limit = std::chrono::milliseconds(milliseconds);
-    }
-  }
-  return limit;
-}
-
 std::string FormatSeconds(Duration aTime)
 {
   const double seconds = std::chrono::duration<double>(aTime).count();
@@ -125,8 +105,7 @@
   relayed->m_service = aService;
   relayed->m_idempotent = aRoute.m_kind == RouteKind::Idempotent;
   relayed->m_maxAttempts = std::max(aRoute.m_maxAttempts, 1U);
-  relayed->m_deadline = aExchange->ReceivedAt() +
-                        TimeLimit(request, aRoute, m_headers.m_timeLeftMs);
+  relayed->m_deadline = aExchange->ReceivedAt() + TimeLimit(request, aRoute);
   relayed->m_headers = MakeHeaders(request.m_headers, aAccount);
   relayed->m_account = aAccount.value_or(AccountName());
   if (const auto id = request.m_headers.Find(m_headers.m_requestId)) {
@@ -155,6 +134,25 @@
   StartAttempt(relayed);
 }
 
+Duration RequestRelay::TimeLimit(const http::Request& aRequest,
+                                 const Route& aRoute) const
+{
+  Duration limit = aRoute.m_timeout;
+  if (const auto field = aRequest.m_headers.Find(m_headers.m_timeLeftMs)) {
+    std::int64_t milliseconds = 0;
+    const auto result = std::from_chars(
+      field->data(), field->data() + field->size(), milliseconds);
+    // Compared in milliseconds: a large number would overflow as a Duration.
+    const bool isShorter =
+      milliseconds <
+      std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    if (result.ec == std::errc() && milliseconds >= 0 && isShorter) {
+      limit = std::chrono::milliseconds(milliseconds);
+    }
+  }
+  return limit;
+}
+
 http::Headers RequestRelay::MakeHeaders(const http::Headers& aReceived,
                                         const RequestAccount& aAccount) const
 {
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -86,6 +86,11 @@
    */
   void SetUsageHooks(UsageHooks aHooks) { m_usage = std::move(aHooks); }
 
+  /** @return the longest time that a request of a route may take: the timeout
+   * of the route, or what the caller has left. */
+  [[nodiscard]] Duration TimeLimit(const http::Request& aRequest,
+                                   const Route& aRoute) const;
+
   /**
    * Relays a request and responds to it.
    *
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -358,6 +358,13 @@
   Write(Serialise(aResponse, close), close);
 }
 
+void ServerConnection::RespondIfActive(const Response& aResponse)
+{
+  if (const auto exchange = m_exchange) {
+    exchange->Respond(aResponse);
+  }
+}
+
 void ServerConnection::Write(std::string aBytes, bool aClose)
 {
   if (m_nextOutput.empty()) {
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -49,6 +49,8 @@
   /** Starts to read, unless there are too many connections. */
   void Start();
   void Respond(const Response& aResponse);
+  /** Responds to the request in progress, if there is one. */
+  void RespondIfActive(const Response& aResponse);
   /** Closes immediately, dropping the rest of a response. */
   void Close();
   /** Closes an idle connection after aDelay unless a request arrives before. */
--- a/src/auburntrestle/http/server.cpp
+++ b/src/auburntrestle/http/server.cpp
@@ -107,6 +107,14 @@
   }
 }
 
+void Server::RespondToAll(const Response& aResponse)
+{
+  const auto connections = m_state->m_connections;
+  for (const auto& connection : connections) {
+    connection->RespondIfActive(aResponse);
+  }
+}
+
 std::uint16_t Server::Port() const noexcept
 {
   asio::error_code ignored;
--- a/src/auburntrestle/http/server.hpp
+++ b/src/auburntrestle/http/server.hpp
@@ -112,6 +112,8 @@
   /** Closes each connection after its current response. Idle connections are
    * closed after aIdle, so that a request already on its way is still read. */
   void Drain(Duration aIdle);
+  /** Responds to all requests in progress. */
+  void RespondToAll(const Response& aResponse);
   /** @return the port listened on. */
   [[nodiscard]] std::uint16_t Port() const noexcept;
   /** @return the number of requests whose response has not been sent yet; with
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -124,6 +124,7 @@
     m_options.m_rateLimit = aLimit;
   }
 
+  void SetRunTime(Duration aTime) { m_options.m_runTime = aTime; }
   void SetLeaving(bool aIsLeaving) { m_options.m_isLeaving = aIsLeaving; }
   /** Acts as another process at the same address. */
   void Restart() { ++m_options.m_incarnation; }
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -823,6 +824,80 @@
   SendUntil(200, { m_callers }, "POST", "/plain/x", "still here", "request-1");
 }
 
+/** A request that is sent while an instance shuts down. */
+struct ShutdownRequest
+{
+  std::string m_id;
+  std::optional<http::FetchResult> m_response = std::nullopt;
+};
+
+// Guards against requests that come late in a planned stop, are passed on, and
+// whose connections close at its end without a response, among them requests
+// that must not run twice.
+TEST_F(WholePathTest, APlannedStopLeavesNoRequestWithoutAResponse)
+{
+  SetUpService();
+  Json configuration = Json::parse(Manifest(2));
+  Json route = configuration["routes"][0];
+  route["name"] = "once";
+  route["path_prefix"] = "/once/";
+  route["route_type"] = "non_idempotent";
+  route["timeout_ms"] = 9000;
+  configuration["routes"].push_back(route);
+  SendUntil(
+    200, m_controls, "PUT", "/auburntrestle/config", configuration.dump());
+  SendUntil(200, { m_callers }, "POST", "/once/x", "query", "before");
+  m_sampler.SetRunTime(std::chrono::seconds(20));
+
+  std::deque<ShutdownRequest> requests;
+  const auto start = [&](const std::string& aTarget) {
+    auto& request = requests.emplace_back(
+      ShutdownRequest{ "request-" + std::to_string(requests.size()) });
+    http::Request sent;
+    sent.m_method = "POST";
+    sent.m_target = aTarget;
+    sent.m_headers.Add("Host", kHost);
+    sent.m_headers.Add(names::kRequestId, request.m_id);
+    std::ignore = http::Fetch(
+      m_client, m_callers, sent, {}, [&request](http::FetchResult aResponse) {
+        request.m_response = std::move(aResponse);
+      });
+  };
+  start("/once/x");
+  m_processes.at("entry").Terminate();
+  constexpr Duration kInterval = std::chrono::milliseconds(50);
+  while (m_processes.at("entry").IsRunning()) {
+    start("/once/x");
+    start("/plain/x");
+    bool waited = false;
+    m_loop.After(kInterval, [&] { waited = true; });
+    while (!waited) {
+      m_loop.Context().run_one();
+    }
+  }
+  const auto isOpen = [](const ShutdownRequest& aRequest) {
+    return !aRequest.m_response;
+  };
+  while (std::any_of(requests.begin(), requests.end(), isOpen)) {
+    m_loop.Context().run_one();
+  }
+  const auto& executed = m_sampler.ExecutedRequests();
+  std::size_t refused = 0;
+  for (const auto& request : requests) {
+    SCOPED_TRACE(request.m_id);
+    const bool ran =
+      std::find(executed.begin(), executed.end(), request.m_id) !=
+      executed.end();
+    const auto& response = *request.m_response;
+    EXPECT_TRUE(response || !ran);
+    if (response && response->m_status == 503) {
+      EXPECT_FALSE(ran);
+      ++refused;
+    }
+  }
+  EXPECT_GT(refused, 0U);
+}
+
 TEST_F(WholePathTest, ShutsDownInOrder)
 {
   SetUpService();
