--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/fleet/commands.hpp"
 #include "auburntrestle/fleet/messages.hpp"
 #include "auburntrestle/protocol/error.hpp"
+#include "auburntrestle/protocol/fwd.hpp"
 
 #include <deque>
 #include <map>
@@ -129,6 +130,9 @@
   CommandResult On(const RecordDutyLease& aCommand);
   CommandResult On(const RecordUsage& aCommand);
   CommandResult On(const CompleteUsage& aCommand);
+  /** Reads the members or a job of a snapshot. */
+  void ReadMembers(protocol::Reader& aReader);
+  void ReadJob(protocol::Reader& aReader);
   Job& AddJob(std::shared_ptr<const JobSpec> aSpec, WallTime aAcceptedAt);
   /** @return a copy of an item whose large bodies are in the output store. */
   [[nodiscard]] tl::expected<JobItem, OutputStoreError> StoreBodies(
