--- a/src/auburntrestle/fleet/membership_plan.cpp
+++ b/src/auburntrestle/fleet/membership_plan.cpp
@@ -124,7 +124,7 @@
       std::count_if(members.begin(), members.end(), [&](const Member& aMember) {
         const bool isInUse =
           aMember.m_role == MemberRole::Voter && IsInUse(aMember);
-        // Nothing is urgent about a retirement.
+        // A retirement can wait until the others have replied.
         return isInUse && (!IsRetiring(aVoter) || IsInContact(aMember));
       });
     return static_cast<std::size_t>(remaining) >= m_policy.m_targetVoters;
