Test crowds of clients that do not behave

Each test checks that the processes run, that memory and descriptors are within those of the machine, and that ordinary requests are answered afterwards.

UntrustedClientsTest keeps its crowd, its bounds and its buffers; its client moved to a header of its own, and its checks of processes are shared with EndlessServersTest, which now checks descriptors too.

--- a/test/platform/endless_servers_test.cpp
+++ b/test/platform/endless_servers_test.cpp
@@ -100,22 +100,6 @@
     return false;
   }
 
-  [[nodiscard]] static Json ConfigurationWithEngines()
-  {
-    Json configuration = Configuration();
-    configuration["routes"].push_back(
-      Json::parse(R"({"name":"jobs","host":"app.example",
-        "path_prefix":"/jobs/","route_type":"rollout","timeout_ms":9000,
-        "latency_target_ms":400,"priority":1,"service":"engines",
-        "max_attempts":3,"queue_ttl_s":40,"target_done_ms":7500,
-        "single_version":false})"));
-    configuration["services"].push_back(Json::parse(R"({"name":"engines",
-        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false,
-        "engine":{"slots":4,"kv_cache_tokens":1000,
-        "models":[{"name":"m"}]}})"));
-    return configuration;
-  }
-
   void Announce(const std::string& aId,
                 const std::string& aService,
                 const RawServer& aServer)
@@ -179,12 +163,7 @@
   SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
   SendUntilServed(Target::Control, "GET", "/auburntrestle/config");
   EXPECT_GT(m_troubled.AcceptedCount(), 0U);
-  for (const auto& [name, process] : m_processes) {
-    const std::size_t memory = process.PeakMemory();
-    RecordProperty(name + "_peak_mib", std::to_string(memory / kMebibyte));
-    EXPECT_GT(memory, 0U) << name;
-    EXPECT_LE(memory, kMemoryMebibytes * kMebibyte) << name;
-  }
+  CheckProcesses();
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/test/platform/sampler.hpp
+++ b/test/platform/sampler.hpp
@@ -39,6 +39,9 @@
   std::function<void(const Json&)> m_onOrder;
   /** The rate limit that all responses state; absent for none. */
   std::optional<double> m_rateLimit;
+  /** The body of a response to a request outside batch jobs; absent for one
+   * that names the request's. */
+  std::optional<std::string> m_plainResponse = std::nullopt;
   /** Whether all responses state that the sampler leaves. */
   bool m_isLeaving = false;
 };
@@ -125,6 +128,11 @@
   }
 
   void SetRunTime(Duration aTime) { m_options.m_runTime = aTime; }
+  /** Sets the body of all responses to requests outside batch jobs. */
+  void SetPlainResponse(std::string aBody)
+  {
+    m_options.m_plainResponse = std::move(aBody);
+  }
   void SetLeaving(bool aIsLeaving) { m_options.m_isLeaving = aIsLeaving; }
   /** Acts as another process at the same address. */
   void Restart() { ++m_options.m_incarnation; }
@@ -221,7 +229,8 @@
     if (!aRequest.Path().starts_with("/jobs/")) {
       aResponse.m_status =
         m_options.m_plainStatus ? m_options.m_plainStatus(id) : 200;
-      aResponse.m_body = PlainResponse(aRequest.m_body);
+      aResponse.m_body =
+        m_options.m_plainResponse.value_or(PlainResponse(aRequest.m_body));
       return;
     }
     m_bodies[id] = aRequest.m_body;
--- a/test/platform/small_deployment.hpp
+++ b/test/platform/small_deployment.hpp
@@ -8,12 +8,16 @@
 #include "platform/sampler.hpp"
 #include "support/process.hpp"
 
+#include <gtest/gtest.h>
+
 #include <cstddef>
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace auburntrestle::platform::test {
 
@@ -23,6 +27,25 @@
 constexpr std::size_t kDescriptors = 512;
 constexpr auto kHost = "app.example";
 
+/** The machines of a deployment. */
+struct MachineSize
+{
+  std::size_t m_memoryMebibytes = 0;
+  std::size_t m_descriptors = 0;
+  /** Lines for the table of limits; without, the limits follow from the memory.
+   */
+  std::string m_limits;
+};
+
+/** @return machines with small limits, which a small crowd reaches. */
+inline MachineSize SmallMachines()
+{
+  return { kMemoryMebibytes,
+           kDescriptors,
+           "response_mb = 4\nreceived_mb = 8\nrequest_bodies_mb = 8\n"
+           "replicated_jobs_mb = 8\n" };
+}
+
 /** The addresses of a small deployment. */
 enum class Target : std::uint8_t
 {
@@ -33,6 +56,15 @@
   StoreMetrics,
 };
 
+/** A request that is answered with 200 at once. */
+struct OrdinaryRequest
+{
+  Target m_target{};
+  std::string m_method;
+  std::string m_path;
+  std::string m_body;
+};
+
 /** A store and an entry instance as real processes on small machines, and a
  * fake sampler. */
 class SmallDeployment
@@ -42,8 +74,9 @@
   SmallDeployment& operator=(const SmallDeployment&) = delete;
 
 protected:
-  SmallDeployment()
-    : m_folder(std::filesystem::temp_directory_path() /
+  explicit SmallDeployment(MachineSize aSize = SmallMachines())
+    : m_size(std::move(aSize))
+    , m_folder(std::filesystem::temp_directory_path() /
                ("trestle-small-" + std::to_string(::getpid())))
   {
     std::filesystem::create_directories(m_folder);
@@ -79,56 +112,91 @@
   void Start(InstanceFile aFile, const std::string& aSeed)
   {
     aFile.m_furtherTables =
-      "[limits]\nmemory_mb = " + std::to_string(kMemoryMebibytes) +
-      "\ndescriptors = " + std::to_string(kDescriptors) +
-      "\nresponse_mb = 4\nreceived_mb = 8\nrequest_bodies_mb = 8\n"
-      "replicated_jobs_mb = 8\n";
+      "[limits]\nmemory_mb = " + std::to_string(m_size.m_memoryMebibytes) +
+      "\ndescriptors = " + std::to_string(m_size.m_descriptors) + "\n" +
+      m_size.m_limits;
     m_processes.insert_or_assign(aFile.m_name,
                                  aFile.Start(m_folder, { aSeed }));
   }
 
-  /** Sends an ordinary request.
-   * @param aCallback receives its status, or nothing. */
-  void StartRequest(Target aTarget,
-                    const std::string& aMethod,
-                    const std::string& aPath,
-                    const std::string& aBody,
-                    std::function<void(std::optional<int>)> aCallback)
+  /** @return a request as a caller sends it. */
+  [[nodiscard]] static http::Request WithId(const std::string& aMethod,
+                                            const std::string& aPath,
+                                            const std::string& aBody,
+                                            const std::string& aId)
   {
     http::Request request;
     request.m_method = aMethod;
     request.m_target = aPath;
     request.m_headers.Add("Host", kHost);
-    request.m_headers.Add(names::kRequestId, "r" + std::to_string(++m_sent));
+    request.m_headers.Add(names::kRequestId, aId);
     request.m_headers.Add(names::kTimeLeftMs, "2000");
     request.m_body = aBody;
+    return request;
+  }
+
+  /** Sends a request.
+   * @param aCallback receives its status, or nothing. */
+  void StartRequest(Target aTarget,
+                    const http::Request& aRequest,
+                    std::function<void(std::optional<int>)> aCallback)
+  {
     const auto client =
       std::make_shared<http::Client>(m_loop, http::ClientOptions{});
     std::ignore = http::Fetch(
       *client,
       m_addresses.at(aTarget),
-      request,
+      aRequest,
       {},
       [client, callback = std::move(aCallback)](http::FetchResult aResponse) {
         callback(aResponse ? std::optional(aResponse->m_status) : std::nullopt);
       });
   }
 
+  /** Sends an ordinary request.
+   * @param aCallback receives its status, or nothing. */
+  void StartRequest(Target aTarget,
+                    const std::string& aMethod,
+                    const std::string& aPath,
+                    const std::string& aBody,
+                    std::function<void(std::optional<int>)> aCallback)
+  {
+    StartRequest(aTarget,
+                 WithId(aMethod, aPath, aBody, "r" + std::to_string(++m_sent)),
+                 std::move(aCallback));
+  }
+
+  /** @return the status of a request, or nothing. */
+  std::optional<int> Send(Target aTarget, const http::Request& aRequest)
+  {
+    std::optional<int> status;
+    bool done = false;
+    StartRequest(aTarget, aRequest, [&](std::optional<int> aStatus) {
+      status = aStatus;
+      done = true;
+    });
+    RunUntil([&] { return done; });
+    return status;
+  }
+
   /** @return the status of an ordinary request, or nothing. */
   std::optional<int> Send(Target aTarget,
                           const std::string& aMethod,
                           const std::string& aPath,
                           const std::string& aBody = {})
   {
-    std::optional<int> status;
-    bool done = false;
-    StartRequest(
-      aTarget, aMethod, aPath, aBody, [&](std::optional<int> aStatus) {
-        status = aStatus;
-        done = true;
-      });
-    RunUntil([&] { return done; });
-    return status;
+    return Send(aTarget,
+                WithId(aMethod, aPath, aBody, "r" + std::to_string(++m_sent)));
+  }
+
+  /** Sends a request again and again until it has a status. */
+  void RunUntilStatus(int aStatus,
+                      Target aTarget,
+                      const http::Request& aRequest)
+  {
+    while (Send(aTarget, aRequest) != aStatus) {
+      WaitFor(std::chrono::milliseconds(20));
+    }
   }
 
   /** Sends a request again and again until it is answered with 200. */
@@ -142,6 +210,32 @@
     }
   }
 
+  /** @return an ordinary request for each address. */
+  [[nodiscard]] static std::vector<OrdinaryRequest> OrdinaryRequests()
+  {
+    return { { Target::Callers, "POST", "/plain/x", "query" },
+             { Target::Readiness, "GET", "/auburntrestle/ready", "" },
+             { Target::EntryMetrics, "GET", "/metrics", "" },
+             { Target::Control, "GET", "/auburntrestle/config", "" },
+             { Target::StoreMetrics, "GET", "/metrics", "" } };
+  }
+
+  /** Checks that the processes run, and what they use. */
+  void CheckProcesses()
+  {
+    for (auto& [name, process] : m_processes) {
+      ASSERT_TRUE(process.IsRunning()) << name;
+      const std::size_t memory = process.PeakMemory();
+      const std::size_t descriptors = process.OpenDescriptors();
+      testing::Test::RecordProperty(name + "_peak_mib",
+                                    std::to_string(memory / kMebibyte));
+      testing::Test::RecordProperty(name + "_descriptors",
+                                    std::to_string(descriptors));
+      EXPECT_LE(memory, m_size.m_memoryMebibytes * kMebibyte) << name;
+      EXPECT_LE(descriptors, m_size.m_descriptors) << name;
+    }
+  }
+
   /** Runs the loop of the test until a condition holds. */
   void RunUntil(const std::function<bool()>& aCondition)
   {
@@ -170,6 +264,23 @@
         "header_ms":3000,"idle_timeout_ms":15000}})");
   }
 
+  /** @return a configuration with a route for batch jobs as well. */
+  [[nodiscard]] static Json ConfigurationWithEngines()
+  {
+    Json configuration = Configuration();
+    configuration["routes"].push_back(
+      Json::parse(R"({"name":"jobs","host":"app.example",
+        "path_prefix":"/jobs/","route_type":"rollout","timeout_ms":9000,
+        "latency_target_ms":400,"priority":1,"service":"engines",
+        "max_attempts":3,"queue_ttl_s":40,"target_done_ms":7500,
+        "single_version":false})"));
+    configuration["services"].push_back(Json::parse(R"({"name":"engines",
+        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false,
+        "engine":{"slots":4,"kv_cache_tokens":1000,
+        "models":[{"name":"m"}]}})"));
+    return configuration;
+  }
+
   void SetUpService(const Json& aConfiguration = Configuration())
   {
     SendUntilServed(
@@ -182,6 +293,7 @@
     SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
   }
 
+  MachineSize m_size;
   event_loop::EventLoop m_loop;
   Sampler m_sampler{ m_loop, "i-1", "m" };
   PortSource m_ports;
--- a/test/platform/untrusted_clients_test.cpp
+++ b/test/platform/untrusted_clients_test.cpp
@@ -1,13 +1,11 @@
+#include "platform/client_crowd.hpp"
 #include "platform/small_deployment.hpp"
 
-#include <asio/connect.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <sstream>
 #include <string>
-#include <vector>
 
 namespace auburntrestle::platform::test {
 namespace {
@@ -23,15 +21,6 @@
   std::function<std::string()> m_bytes;
 };
 
-std::string Repeat(const std::string& aText, std::size_t aBytes)
-{
-  std::string repeated;
-  while (repeated.size() + aText.size() <= aBytes) {
-    repeated += aText;
-  }
-  return repeated;
-}
-
 std::string Head(const std::string& aFields)
 {
   return "POST /plain/x HTTP/1.1\r\nHost: app.example\r\n" + aFields;
@@ -131,39 +120,17 @@
   , public testing::TestWithParam<CrowdCase>
 {
 protected:
-  /** Connects a client, which sends its bytes as far as they are taken. */
-  void Connect(const std::string& aAddress, const std::string& aBytes)
-  {
-    const auto colon = aAddress.find(':');
-    const asio::ip::tcp::endpoint endpoint(
-      asio::ip::make_address(aAddress.substr(0, colon)),
-      static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))));
-    auto socket = std::make_shared<asio::ip::tcp::socket>(m_loop.Context());
-    asio::error_code error;
-    socket->connect(endpoint, error);
-    if (error) {
-      return;
-    }
-    m_crowd.push_back(socket);
-    auto bytes = std::make_shared<std::string>(aBytes);
-    asio::async_write(*socket,
-                      asio::buffer(*bytes),
-                      [socket, bytes](const asio::error_code&, std::size_t) {});
-    m_loop.Context().poll();
-  }
-
   /** Sends ordinary requests to all addresses, which also gives the processes
    * the time to read what the crowd has sent. */
   void SendOrdinaryRequests()
   {
-    SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
-    SendUntilServed(Target::Readiness, "GET", "/auburntrestle/ready");
-    SendUntilServed(Target::EntryMetrics, "GET", "/metrics");
-    SendUntilServed(Target::Control, "GET", "/auburntrestle/config");
-    SendUntilServed(Target::StoreMetrics, "GET", "/metrics");
+    for (const auto& request : OrdinaryRequests()) {
+      SendUntilServed(
+        request.m_target, request.m_method, request.m_path, request.m_body);
+    }
   }
 
-  std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_crowd;
+  ClientCrowd m_crowd{ m_loop };
 };
 
 // Guards against clients that fill the memory or use up the descriptors of a
@@ -172,23 +139,13 @@
 TEST_P(UntrustedClientsTest, LeaveRoomForOthers)
 {
   SetUpService();
-  const std::string bytes = GetParam().m_bytes();
-  for (int client = 0; client < kCrowd; ++client) {
-    Connect(m_addresses.at(GetParam().m_target), bytes);
-  }
+  m_crowd.Connect(
+    kCrowd, m_addresses.at(GetParam().m_target), GetParam().m_bytes());
   constexpr int kRounds = 10;
   for (int round = 0; round < kRounds; ++round) {
     SendOrdinaryRequests();
   }
-  for (const auto& [name, process] : m_processes) {
-    const std::size_t memory = process.PeakMemory();
-    const std::size_t descriptors = process.OpenDescriptors();
-    RecordProperty(name + "_peak_mib", std::to_string(memory / kMebibyte));
-    RecordProperty(name + "_descriptors", std::to_string(descriptors));
-    EXPECT_GT(memory, 0U) << name;
-    EXPECT_LE(memory, kMemoryMebibytes * kMebibyte) << name;
-    EXPECT_LE(descriptors, kDescriptors) << name;
-  }
+  CheckProcesses();
 }
 
 INSTANTIATE_TEST_SUITE_P(
