Let clients that are behind a minimum rate give way

What callers saw: while 400 clients sent 1 KiB of a request every 400 ms, an ordinary request was refused in each of ten attempts, at the callers' address and at the control address.

Cause: a connection gave way to others after 500 ms without progress, and 1 KiB counted as progress, as did each write of a response that is read slowly. Such clients never stalled, so the newcomer was refused.

Why this works: bytes now make up for the time that they take at 32 KiB/s, so a client that sends 2.5 KiB/s is 500 ms behind after 550 ms, and the one furthest behind gives way. Connections are ordered by that time in a multimap, since progress no longer moves them to the end of a list. A client that keeps to the rate never gives way, and nobody does while there is room.

--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -151,23 +151,18 @@
   return m_inRequest ? ConnectionStage::Receiving : ConnectionStage::Idle;
 }
 
-void ServerConnection::RecordProgress(std::size_t aReceivedBytes)
+void ServerConnection::RecordProgress(std::size_t aBytes)
 {
-  // A client that sends a byte now and then makes none.
-  constexpr std::size_t kMinProgressBytes = 1024;
   if (m_closed) {
     return;
   }
   const ConnectionStage stage = Stage();
-  m_recentBytes += aReceivedBytes;
-  const bool isSlow = stage == ConnectionStage::Receiving && m_stage == stage &&
-                      m_recentBytes < kMinProgressBytes;
-  if (isSlow) {
-    return;
+  auto& resources = *m_state->m_resources;
+  if (std::exchange(m_stage, stage) != stage) {
+    resources.EnterStage(*m_usage, stage, MonotonicClock::Now());
+  } else {
+    resources.RecordProgress(*m_usage, aBytes, MonotonicClock::Now());
   }
-  m_recentBytes = 0;
-  m_stage = stage;
-  m_state->m_resources->RecordProgress(*m_usage, stage, MonotonicClock::Now());
 }
 
 void ServerConnection::OnRead(const asio::error_code& aError,
@@ -403,7 +398,7 @@
         self->OnWritten(aError);
         return;
       }
-      self->RecordProgress();
+      self->RecordProgress(aBytes);
       self->SendRest();
     });
 }
--- a/src/auburntrestle/http/internal/server_connection.hpp
+++ b/src/auburntrestle/http/internal/server_connection.hpp
@@ -74,9 +74,9 @@
   /** Accounts for the bytes held, also beyond the limit. */
   void HoldMemory();
   [[nodiscard]] ConnectionStage Stage() const noexcept;
-  /** Records what the connection does at present, and that it makes progress.
-   * @param aReceivedBytes bytes of a request; a few are no progress. */
-  void RecordProgress(std::size_t aReceivedBytes = 0);
+  /** Records what the connection does at present.
+   * @param aBytes bytes of its request or response that made progress. */
+  void RecordProgress(std::size_t aBytes = 0);
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
   void ProcessInput();
   /** @return whether there is input and no earlier request is in progress: its
@@ -120,8 +120,6 @@
   std::optional<ServerResources::Handle> m_usage;
   std::vector<char> m_buffer = std::vector<char>(kReadBytes);
   ConnectionStage m_stage = ConnectionStage::Idle;
-  /** Bytes received since progress was recorded. */
-  std::size_t m_recentBytes = 0;
   /** The last read filled the buffer. */
   bool m_filledBuffer = false;
   std::string m_input;
--- a/src/auburntrestle/http/server_resources.cpp
+++ b/src/auburntrestle/http/server_resources.cpp
@@ -6,14 +6,25 @@
 
 namespace {
 
-/** A request or response without progress for this long gives way to others. */
+/** A request or response that is behind the minimum rate by this time gives way
+ * to others. */
 constexpr Duration kStallTime = std::chrono::milliseconds(500);
+/** The minimum rate of requests and responses while there is too little room.
+ */
+constexpr std::size_t kMinBytesPerSecond = std::size_t{ 32 } * 1024;
 /** A connection that holds no more is served from the reserve: an ordinary
  * request with its response holds less. */
 constexpr std::size_t kSmallHolding = std::size_t{ 32 } * 1024;
 /** The share of the memory that is kept for small holdings. */
 constexpr std::size_t kReserveDivisor = 4;
 
+/** @return the time that bytes take at the minimum rate. */
+Duration TimeOf(std::size_t aBytes)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    static_cast<double>(aBytes) / static_cast<double>(kMinBytesPerSecond)));
+}
+
 } // namespace
 
 std::string_view ToString(ShedReason aReason) noexcept
@@ -47,27 +58,42 @@
     return std::nullopt;
   }
   ++m_connections;
-  auto& idle = ListOf(ConnectionStage::Idle);
-  return idle.insert(
-    idle.end(), Holding{ ConnectionStage::Idle, 0, aNow, std::move(aClose) });
+  const auto added = m_holdings.insert(m_holdings.end(), Holding{});
+  added->m_close = std::move(aClose);
+  added->m_position = QueueOf(added->m_stage).emplace(aNow, added);
+  return added;
 }
 
 void ServerResources::Remove(Handle aConnection)
 {
   m_heldBytes -= aConnection->m_bytes;
   --m_connections;
-  ListOf(aConnection->m_stage).erase(aConnection);
+  QueueOf(aConnection->m_stage).erase(aConnection->m_position);
+  m_holdings.erase(aConnection);
+}
+
+void ServerResources::Move(Handle aConnection,
+                           ConnectionStage aStage,
+                           TimePoint aProgressAt)
+{
+  QueueOf(aConnection->m_stage).erase(aConnection->m_position);
+  aConnection->m_stage = aStage;
+  aConnection->m_position = QueueOf(aStage).emplace(aProgressAt, aConnection);
+}
+
+void ServerResources::EnterStage(Handle aConnection,
+                                 ConnectionStage aStage,
+                                 TimePoint aNow)
+{
+  Move(aConnection, aStage, aNow);
 }
 
 void ServerResources::RecordProgress(Handle aConnection,
-                                     ConnectionStage aStage,
+                                     std::size_t aBytes,
                                      TimePoint aNow)
 {
-  auto& from = ListOf(aConnection->m_stage);
-  auto& target = ListOf(aStage);
-  target.splice(target.end(), from, aConnection);
-  aConnection->m_stage = aStage;
-  aConnection->m_progressAt = aNow;
+  const TimePoint reached = aConnection->m_position->first + TimeOf(aBytes);
+  Move(aConnection, aConnection->m_stage, std::min(reached, aNow));
 }
 
 bool ServerResources::HasRoom(Handle aConnection, std::size_t aBytes) const
@@ -132,17 +158,17 @@
                                std::optional<Handle> aFor,
                                TimePoint aStalledSince)
 {
-  auto& holdings = ListOf(aStage);
-  auto victim = holdings.begin();
-  if (aFor && victim == *aFor) {
+  auto& queue = QueueOf(aStage);
+  auto victim = queue.begin();
+  if (victim != queue.end() && aFor && victim->second == *aFor) {
     ++victim;
   }
-  if (victim == holdings.end() || victim->m_progressAt > aStalledSince) {
+  if (victim == queue.end() || victim->first > aStalledSince) {
     return false;
   }
   const std::size_t before = m_connections;
   // The connection removes itself, which destroys the function.
-  const auto close = victim->m_close;
+  const auto close = victim->second->m_close;
   close();
   Report(aReason);
   return m_connections < before;
--- a/src/auburntrestle/http/server_resources.hpp
+++ b/src/auburntrestle/http/server_resources.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <limits>
 #include <list>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -53,23 +54,28 @@
 /**
  * Accounts for what connections hold, and decides which ones give way when
  * there is too little. Designed for crowds of clients that each stay within the
- * limits of one request and stop just short of its end. What costs callers
- * least is closed first: requests and readers that made no progress for a
- * while, the longest first, then idle connections. If there are none, the
- * newcomer is refused. A quarter of the memory is kept for connections that
- * hold little, so that ordinary requests are served beside large ones.
+ * limits of one request, send it slowly and stop just short of its end, or do
+ * not read their responses. What costs callers least is closed first: requests
+ * and readers that are furthest behind a minimum rate, then idle connections.
+ * If there are none, the newcomer is refused. A quarter of the memory is kept
+ * for connections that hold little, so that ordinary requests are served beside
+ * large ones.
  */
 class ServerResources
 {
 private:
+  struct Holding;
+  using Holdings = std::list<Holding>;
+  /** Connections by the time up to which their progress suffices. */
+  using Queue = std::multimap<TimePoint, Holdings::iterator>;
+
   struct Holding
   {
     ConnectionStage m_stage = ConnectionStage::Idle;
     std::size_t m_bytes = 0;
-    TimePoint m_progressAt{};
     std::function<void()> m_close;
+    Queue::iterator m_position;
   };
-  using Holdings = std::list<Holding>;
 
 public:
   /** Identifies a connection. */
@@ -94,10 +100,11 @@
   [[nodiscard]] std::optional<Handle> TryAdd(std::function<void()> aClose,
                                              TimePoint aNow);
   void Remove(Handle aConnection);
-  /** Records progress of a connection, and its stage. */
-  void RecordProgress(Handle aConnection,
-                      ConnectionStage aStage,
-                      TimePoint aNow);
+  /** Records that a connection has entered a stage. */
+  void EnterStage(Handle aConnection, ConnectionStage aStage, TimePoint aNow);
+  /** Records bytes of a request that were received, or of a response that were
+   * sent. They make up for the time that they take at the minimum rate. */
+  void RecordProgress(Handle aConnection, std::size_t aBytes, TimePoint aNow);
   /** Sets the bytes that a connection holds. @return false if there is no room
    * for more; the account is then unchanged. */
   [[nodiscard]] bool TryHold(Handle aConnection,
@@ -120,10 +127,12 @@
 private:
   static constexpr std::size_t kStages = 4;
 
-  [[nodiscard]] Holdings& ListOf(ConnectionStage aStage)
+  [[nodiscard]] Queue& QueueOf(ConnectionStage aStage)
   {
-    return m_holdings.at(static_cast<std::size_t>(aStage));
+    return m_queues.at(static_cast<std::size_t>(aStage));
   }
+  /** Sets the stage of a connection, and up to when its progress suffices. */
+  void Move(Handle aConnection, ConnectionStage aStage, TimePoint aProgressAt);
   [[nodiscard]] bool HasRoom(Handle aConnection, std::size_t aBytes) const;
   /** Closes one connection other than aFor. @return false if none gives way. */
   bool ShedOne(std::optional<Handle> aFor, TimePoint aNow);
@@ -135,8 +144,9 @@
 
   ResourceLimits m_limits;
   std::function<void(ShedReason)> m_onShed;
-  /** By stage, the one without progress for the longest time first. */
-  std::array<Holdings, kStages> m_holdings;
+  Holdings m_holdings;
+  /** By stage, the connection that is furthest behind first. */
+  std::array<Queue, kStages> m_queues;
   std::size_t m_heldBytes = 0;
   std::size_t m_connections = 0;
 };
--- a/test/auburntrestle/http/server_resources_test.cpp
+++ b/test/auburntrestle/http/server_resources_test.cpp
@@ -37,7 +37,7 @@
       return false;
     }
     m_handles.emplace(aName, *handle);
-    m_resources.RecordProgress(*handle, aStage, At(aAtMs));
+    m_resources.EnterStage(*handle, aStage, At(aAtMs));
     return true;
   }
 
@@ -121,6 +121,49 @@
                             "idle_closed" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+/** A connection that makes progress, and whether it then gives way. */
+struct RateCase
+{
+  std::string m_name;
+  ConnectionStage m_stage{};
+  std::size_t m_bytes = 0;
+  int m_intervalMs = 0;
+  bool m_givesWay = false;
+};
+
+class RateTest
+  : public ServerResourcesTest
+  , public testing::WithParamInterface<RateCase>
+{};
+
+// Guards against clients that send or read 1 KiB now and then: each was taken
+// for one that makes progress, and together they kept all others out.
+TEST_P(RateTest, OnlyThoseBelowTheMinimumRateGiveWay)
+{
+  const RateCase& given = GetParam();
+  ASSERT_TRUE(Add("slow", given.m_stage, 0));
+  ASSERT_TRUE(TryHold("slow", 3 * kLarge, 0));
+  constexpr int kEndMs = 4000;
+  for (int at = given.m_intervalMs; at <= kEndMs; at += given.m_intervalMs) {
+    m_resources.RecordProgress(m_handles.at("slow"), given.m_bytes, At(at));
+  }
+  ASSERT_TRUE(Add("new", kReceiving, kEndMs));
+  EXPECT_EQ(TryHold("new", kLarge, kEndMs), given.m_givesWay);
+  EXPECT_EQ(m_handles.contains("slow"), !given.m_givesWay);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Rates,
+  RateTest,
+  testing::Values(
+    RateCase{ "kibibyte_in_a_request", kReceiving, 1024, 400, true },
+    RateCase{ "byte_in_a_request", kReceiving, 1, 10, true },
+    RateCase{ "packets_of_a_request", kReceiving, 1460, 20, false },
+    RateCase{ "pieces_of_a_request", kReceiving, 16'384, 400, false },
+    RateCase{ "kibibyte_of_a_response", kSending, 1024, 400, true },
+    RateCase{ "packets_of_a_response", kSending, 1460, 20, false }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 // Guards against large requests that leave no room for ordinary ones.
 TEST_F(ServerResourcesTest, KeepsAReserveForSmallHoldings)
 {
