Let a response take the place of the one furthest behind

Cause: ServerResources::Hold held a response beyond the limit until another one had stalled for 500 ms.

Why this works: the response that made the least progress is closed, stalled or not, until the new one has room, so at most one is beyond the limit. A response can't be refused, since its request has run; a closed connection promises nothing.

--- a/src/auburntrestle/http/server_resources.cpp
+++ b/src/auburntrestle/http/server_resources.cpp
@@ -125,7 +125,10 @@
                            TimePoint aNow)
 {
   while (aBytes > aConnection->m_bytes && !HasRoom(aConnection, aBytes) &&
-         ShedOne(aConnection, aNow)) {
+         (ShedOne(aConnection, aNow) || ShedFrom(ConnectionStage::Sending,
+                                                 ShedReason::SlowReaderClosed,
+                                                 aConnection,
+                                                 aNow))) {
   }
   m_heldBytes += aBytes - aConnection->m_bytes;
   aConnection->m_bytes = aBytes;
--- a/src/auburntrestle/http/server_resources.hpp
+++ b/src/auburntrestle/http/server_resources.hpp
@@ -57,8 +57,9 @@
  * limits of one request, send it slowly and stop just short of its end, or do
  * not read their responses. What costs callers least is closed first: requests
  * and readers that are furthest behind a minimum rate, then idle connections.
- * If there are none, the newcomer is refused. A quarter of the memory is kept
- * for connections that hold little, so that ordinary requests are served beside
+ * If there are none, a new request is refused, and a response takes the place
+ * of the one that is furthest behind. A quarter of the memory is kept for
+ * connections that hold little, so that ordinary requests are served beside
  * large ones.
  */
 class ServerResources
@@ -110,8 +111,9 @@
   [[nodiscard]] bool TryHold(Handle aConnection,
                              std::size_t aBytes,
                              TimePoint aNow);
-  /** Sets the bytes that a connection holds, also beyond the limit: a response
-   * has to be sent once its request was run. */
+  /** Sets the bytes that a connection holds for a response, which has to be
+   * sent once its request was run. Other responses give way to it; beyond the
+   * limit there is at most this one. */
   void Hold(Handle aConnection, std::size_t aBytes, TimePoint aNow);
 
   /** Closes the request other than aConnection that made no progress for the
--- a/test/auburntrestle/http/server_resources_test.cpp
+++ b/test/auburntrestle/http/server_resources_test.cpp
@@ -198,6 +198,23 @@
   EXPECT_EQ(m_shed, std::vector<std::string>{ "connection_refused" });
 }
 
+// Guards against clients that all ask for large responses and do not read them:
+// each response was held beyond the limit until it had stalled for a while.
+TEST_F(ServerResourcesTest, AResponseReplacesTheOneThatIsFurthestBehind)
+{
+  for (const char* name : { "a", "b", "c", "d" }) {
+    ASSERT_TRUE(Add(name, kHandling, 0));
+  }
+  int now = 0;
+  for (const char* name : { "a", "b", "c", "d" }) {
+    m_resources.EnterStage(m_handles.at(name), kSending, At(++now));
+    m_resources.Hold(m_handles.at(name), kLarge, At(now));
+  }
+  EXPECT_EQ(m_shed, std::vector<std::string>{ "slow_reader_closed" });
+  EXPECT_FALSE(m_handles.contains("a"));
+  EXPECT_EQ(m_resources.HeldBytes(), 3 * kLarge);
+}
+
 // Guards against a response that is dropped because others fill the memory.
 TEST_F(ServerResourcesTest, AResponseIsHeldBeyondTheLimit)
 {
