Hold the body of a request once for all its attempts

Cause: a large body was held by the request, by the message to a backend server that was being serialised, and by its copy that waits to be sent; a hedge added another one. limits.request_bodies_mb counts it once.

Change: Request has a body that is shared, RequestRelay moves the received body there, and ClientConnection sends the head and the body as two buffers.

--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -61,6 +61,8 @@
   TimePoint m_deadline{};
   std::string m_requestId;
   http::Headers m_headers;
+  /** Shared by all attempts. */
+  SharedBytes m_body;
   std::set<BackendId> m_tried;
   std::vector<std::shared_ptr<Attempt>> m_running;
   /** A backend server may have run the request. */
@@ -107,6 +109,7 @@
   relayed->m_maxAttempts = std::max(aRoute.m_maxAttempts, 1U);
   relayed->m_deadline = aExchange->ReceivedAt() + TimeLimit(request, aRoute);
   relayed->m_headers = MakeHeaders(request.m_headers, aAccount);
+  relayed->m_body = std::move(aExchange->MutableRequest().m_body);
   relayed->m_account = aAccount.value_or(AccountName());
   if (const auto id = request.m_headers.Find(m_headers.m_requestId)) {
     relayed->m_requestId = *id;
@@ -231,7 +234,7 @@
   http::Request request;
   request.m_method = received.m_method;
   request.m_target = received.m_target;
-  request.m_body = received.m_body;
+  request.m_sharedBody = aRelayed->m_body;
   request.m_headers = aRelayed->m_headers;
   request.m_headers.Set(
     m_headers.m_timeLeftMs,
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <tuple>
@@ -117,7 +118,10 @@
   CancelTimer(m_stageTimer);
   m_handlers = std::move(aHandlers);
   m_pool->AddReceiving(*this);
-  m_output = Serialise(aRequest);
+  m_output = SerialiseHead(aRequest);
+  m_outputBody = aRequest.m_sharedBody.size() > 0
+                   ? aRequest.m_sharedBody
+                   : SharedBytes(aRequest.m_body);
   m_correlation = aOptions.m_correlation;
   m_expectsNoBody = aRequest.m_method == "HEAD";
   ResetParser();
@@ -169,15 +173,19 @@
 void ClientConnection::Send()
 {
   m_writing = true;
+  const std::array<asio::const_buffer, 2> request = {
+    asio::buffer(m_output), asio::buffer(m_outputBody.Get())
+  };
   asio::async_write(
     m_socket,
-    asio::buffer(m_output),
+    request,
     [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
       self->m_writing = false;
       // A failed write is also reported by the pending read, which may still
       // receive a response that was sent early.
       if (!aError) {
         self->m_output = std::string();
+        self->m_outputBody = {};
       }
     });
 }
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -123,6 +123,8 @@
   std::optional<CallHandlers> m_handlers;
   std::optional<Correlation> m_correlation;
   std::string m_output;
+  /** The body of the request, sent after m_output. */
+  SharedBytes m_outputBody;
   Headers m_lastHeaders;
   std::optional<timer::TimerId> m_callTimer;
   std::optional<timer::TimerId> m_stageTimer;
--- a/src/auburntrestle/http/message.cpp
+++ b/src/auburntrestle/http/message.cpp
@@ -134,6 +134,11 @@
   });
 }
 
+const std::string& Request::Body() const noexcept
+{
+  return m_sharedBody.size() > 0 ? m_sharedBody.Get() : m_body;
+}
+
 std::string_view Request::Path() const noexcept
 {
   return std::string_view(m_target).substr(0, m_target.find('?'));
@@ -239,21 +244,25 @@
   // NOLINTEND(readability-magic-numbers)
 }
 
-std::string Serialise(const Request& aRequest)
+std::string SerialiseHead(const Request& aRequest)
 {
+  const std::size_t bodyBytes = aRequest.Body().size();
   std::string text =
     aRequest.m_method + " " + aRequest.m_target + " HTTP/1.1\r\n";
   internal::AppendHeaderFields(aRequest.m_headers, text);
-  if (!aRequest.m_body.empty() || aRequest.m_method == "POST" ||
+  if (bodyBytes > 0 || aRequest.m_method == "POST" ||
       aRequest.m_method == "PUT") {
-    text +=
-      "Content-Length: " + std::to_string(aRequest.m_body.size()) + "\r\n";
+    text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
   }
   text += "\r\n";
-  text += aRequest.m_body;
   return text;
 }
 
+std::string Serialise(const Request& aRequest)
+{
+  return SerialiseHead(aRequest) + aRequest.Body();
+}
+
 std::string Serialise(const Response& aResponse, bool aClose)
 {
   constexpr int kNoContent = 204;
--- a/src/auburntrestle/http/message.hpp
+++ b/src/auburntrestle/http/message.hpp
@@ -1,6 +1,8 @@
 #ifndef AUBURNTRESTLE_HTTP_MESSAGE_HPP
 #define AUBURNTRESTLE_HTTP_MESSAGE_HPP
 
+#include "auburntrestle/core/shared_bytes.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -49,7 +51,12 @@
   std::string m_target;
   Headers m_headers;
   std::string m_body;
+  /** A body that several requests share, so that it is in memory once. m_body
+   * is empty if it is used. */
+  SharedBytes m_sharedBody = {};
 
+  /** @return m_sharedBody if it is used, otherwise m_body. */
+  [[nodiscard]] const std::string& Body() const noexcept;
   /** @return the target without its query. */
   [[nodiscard]] std::string_view Path() const noexcept;
   /** @return the decoded value of a query parameter, or nothing. */
@@ -86,6 +93,10 @@
 /** @return the reason phrase of a status code. */
 [[nodiscard]] std::string_view ReasonPhrase(int aStatus) noexcept;
 
+/** @return the bytes of a request with Content-Length up to its body, for a
+ * persistent connection. */
+[[nodiscard]] std::string SerialiseHead(const Request& aRequest);
+
 /** @return the bytes of a request with Content-Length, for a persistent
  * connection. */
 [[nodiscard]] std::string Serialise(const Request& aRequest);
