Limit what all jobs take in the memory of a store

What callers saw: 100 jobs of legal size with 11,000 short items each took a store of 48 MiB to 241 MiB; on the platform all stores end, since each holds the same state.

Cause: limits.replicated_jobs_mb counts the encoded bytes of the jobs that are being replicated. Nothing limited the jobs that are in the state, and an item of 80 bytes takes 450 there, with its index entry and its result.

Why this works: the state counts what its jobs take, and the leader refuses a job with 503 (not run, with Retry-After) while it and those being replicated would exceed limits.stored_jobs_mb, by default a quarter of the memory. A job of the platform's trainers has a few hundred items and takes under 300 KB. An ended job counts with its results only. Bodies over 4 KiB are in files and do not count.

--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -211,6 +211,7 @@
   RequestLimits& requests = aSettings.m_requestLimits;
   aReader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
   aReader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
+  aReader.Mebibytes("limits.stored_jobs_mb", requests.m_storedJobBytes);
   ClientLimits& clients = aSettings.m_clientLimits;
   aReader.Mebibytes("limits.connections_mb", clients.m_connectionBytes);
   aReader.Count("limits.client_connections", clients.m_connections);
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -54,6 +54,10 @@
   friend bool operator==(const RewardCall&, const RewardCall&) = default;
 };
 
+/** The state keeps a larger body in the output store. A smaller one is cheaper
+ * in memory than to read for each run of its item. */
+inline constexpr std::size_t kMaxInlineBodyBytes = 4096;
+
 /** One request of a batch job. */
 struct JobItem
 {
@@ -154,6 +158,8 @@
   std::size_t m_total = 0;
   /** When the job was accepted, by the clock of the accepting leader. */
   WallTime m_acceptedAt{};
+  /** What the job takes in memory; see MemoryInState. */
+  std::size_t m_memory = 0;
   /** In the order in which clients read them; a result never moves. */
   std::vector<StoredResult> m_results;
   bool m_ended = false;
--- a/src/auburntrestle/fleet/memory_limits.cpp
+++ b/src/auburntrestle/fleet/memory_limits.cpp
@@ -27,6 +27,9 @@
  * and in the messages to other members. */
 constexpr double kReplicatedJobShare = 0.165;
 
+/** What the jobs of a busy deployment take is a small part of it. */
+constexpr double kStoredJobShare = 0.25;
+constexpr std::uint64_t kMaxStoredJobBytes = 256 * kMebibyte;
 /** An ordinary connection holds 5 KiB, so that these suffice for thousands. */
 constexpr double kConnectionShare = 0.2;
 constexpr std::uint64_t kMinConnectionBytes = 4 * kMebibyte;
@@ -53,7 +56,10 @@
 RequestLimits RequestLimitsFor(std::uint64_t aMemoryBytes) noexcept
 {
   return { ShareOf(aMemoryBytes, kBodyShare),
-           ShareOf(aMemoryBytes, kReplicatedJobShare) };
+           ShareOf(aMemoryBytes, kReplicatedJobShare),
+           std::clamp(Share(aMemoryBytes, kStoredJobShare),
+                      kMinRequestBytes,
+                      kMaxStoredJobBytes) };
 }
 
 ClientLimits ClientLimitsFor(std::uint64_t aMemoryBytes,
--- a/src/auburntrestle/fleet/memory_limits.hpp
+++ b/src/auburntrestle/fleet/memory_limits.hpp
@@ -26,6 +26,8 @@
   std::size_t m_bodyBytes = 0;
   /** Maximum encoded bytes of the jobs that a leader replicates at a time. */
   std::size_t m_replicatedJobBytes = 0;
+  /** Maximum bytes that all jobs take in the memory of a store. */
+  std::size_t m_storedJobBytes = 0;
 
   friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
 };
--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/fleet/state.hpp"
 
+#include "auburntrestle/fleet/job_memory.hpp"
 #include "auburntrestle/observe/log.hpp"
 
 #include <algorithm>
@@ -9,10 +10,6 @@
 
 namespace {
 
-/** A larger body is kept in the output store. A smaller one is cheaper in
- * memory than to read for each run of its item. */
-constexpr std::size_t kMaxInlineBodyBytes = 4096;
-
 bool IsLargeBody(const std::string& aBody)
 {
   return aBody.size() > kMaxInlineBodyBytes;
@@ -264,6 +261,8 @@
     job.m_itemIndex.emplace(aSpec->m_items[index].m_id, index);
   }
   job.m_hasResult.resize(job.m_total);
+  job.m_memory = MemoryInState(*aSpec);
+  m_jobMemory += job.m_memory;
   job.m_spec = std::move(aSpec);
   m_jobOrder.push_back(job.m_id);
   return m_jobs.insert_or_assign(job.m_id, std::move(job)).first->second;
@@ -277,6 +276,9 @@
   aJob.m_itemIndex = {};
   aJob.m_hasResult = {};
   aJob.m_progress = {};
+  m_jobMemory -= aJob.m_memory;
+  aJob.m_memory = MemoryOf(aJob.m_results);
+  m_jobMemory += aJob.m_memory;
 }
 
 tl::expected<void, OutputStoreError> State::StoreBody(
@@ -414,7 +416,10 @@
 CommandResult State::On(const ForgetJobs& aCommand)
 {
   for (const auto& id : aCommand.m_jobs) {
-    if (m_jobs.erase(id) > 0) {
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+      m_jobMemory -= found->second.m_memory;
+      m_jobs.erase(found);
       std::erase(m_jobOrder, id);
     }
   }
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -95,6 +95,8 @@
   {
     return m_jobOrder;
   }
+  /** @return the bytes that all jobs take in memory. */
+  [[nodiscard]] std::size_t JobMemory() const noexcept { return m_jobMemory; }
   /** @return whether an announcement would change the state. */
   [[nodiscard]] bool IsChange(const BackendRecord& aRecord) const;
   [[nodiscard]] bool IsChange(const AnnounceMember& aMember) const;
@@ -150,7 +152,7 @@
   [[nodiscard]] tl::expected<void, OutputStoreError>
   StoreResult(Job& aJob, const ItemResult& aResult, bool aIsRecorded);
   /** Marks a job as ended and releases all but its results. */
-  static void Close(Job& aJob);
+  void Close(Job& aJob);
   void MarkRemoved(BackendRecord& aRecord);
   /** @return whether a later process announced the same address. */
   [[nodiscard]] bool IsSuperseded(const BackendRecord& aRecord) const;
@@ -167,6 +169,8 @@
   std::set<std::string> m_retiring;
   std::unordered_map<JobId, Job> m_jobs;
   std::deque<JobId> m_jobOrder;
+  /** What m_jobs take in memory. */
+  std::size_t m_jobMemory = 0;
   UsageState m_usage;
 };
 
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -41,6 +41,14 @@
   Unavailable,
 };
 
+/** A job that a command submits. */
+struct SubmittedJob
+{
+  JobId m_id;
+  /** What it will take in the memory of the state. */
+  std::size_t m_memory = 0;
+};
+
 /**
  * An instance that stores the log. Serves operators and backend servers, and
  * runs batch jobs while it is the leader.
@@ -140,13 +148,14 @@
    * result NoRoom, so that nobody sends it again at once.
    * @param aJob the job that the command submits, if it does. */
   void ProposeEncoded(SharedBytes aCommand,
-                      std::optional<JobId> aJob,
+                      std::optional<SubmittedJob> aJob,
                       ProposalCallback aCallback);
   /** Adds a job to those being replicated.
    * @return false if there is no room for it. */
-  [[nodiscard]] bool TryStartReplication(const JobId& aJob, std::size_t aBytes);
+  [[nodiscard]] bool TryStartReplication(const SubmittedJob& aJob,
+                                         std::size_t aBytes);
   /** Ends the replication of a job with its outcome. */
-  void FinishReplication(const JobId& aJob,
+  void FinishReplication(const SubmittedJob& aJob,
                          std::size_t aBytes,
                          const tl::expected<CommandResult, LinkError>& aResult);
   void HandleCall(protocol::Method aMethod,
@@ -213,6 +222,8 @@
   std::map<JobId, std::vector<ProposalCallback>> m_replicatedJobs;
   /** The encoded bytes of these jobs. */
   std::size_t m_replicatedJobBytes = 0;
+  /** What these jobs will take in the memory of the state. */
+  std::size_t m_replicatedJobMemory = 0;
   /** Destroyed first, because its thread calls into the other members. */
   std::unique_ptr<protocol::PeerTransport> m_transport;
 };
--- a/src/auburntrestle/fleet/store_service_proposals.cpp
+++ b/src/auburntrestle/fleet/store_service_proposals.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/fleet/codec.hpp"
+#include "auburntrestle/fleet/job_memory.hpp"
 #include "auburntrestle/fleet/store_service.hpp"
 #include "auburntrestle/observe/log.hpp"
 
@@ -12,10 +13,13 @@
 using observe::LogLine;
 
 /** @return the job that a command submits, if it does. */
-std::optional<JobId> JobOf(const Command& aCommand)
+std::optional<SubmittedJob> JobOf(const Command& aCommand)
 {
   const auto* accept = std::get_if<AcceptJob>(&aCommand);
-  return accept != nullptr ? std::optional(accept->m_spec.m_id) : std::nullopt;
+  return accept != nullptr
+           ? std::optional(SubmittedJob{ accept->m_spec.m_id,
+                                         MemoryInState(accept->m_spec) })
+           : std::nullopt;
 }
 
 /** @return the outcome of a proposal for those who wait for it. */
@@ -39,7 +43,7 @@
 void StoreService::HandlePropose(std::string aPayload,
                                  const protocol::Reply& aReply)
 {
-  std::optional<JobId> job;
+  std::optional<SubmittedJob> job;
   {
     // Decoded in a scope of its own: a job can be large.
     const auto command = DecodeCommand(aPayload);
@@ -109,41 +113,49 @@
   return aCommand;
 }
 
-bool StoreService::TryStartReplication(const JobId& aJob, std::size_t aBytes)
+bool StoreService::TryStartReplication(const SubmittedJob& aJob,
+                                       std::size_t aBytes)
 {
-  const std::size_t limit = m_options.m_requestLimits.m_replicatedJobBytes;
-  if (m_replicatedJobBytes + aBytes > limit) {
+  const RequestLimits& limits = m_options.m_requestLimits;
+  const std::size_t stored =
+    m_replica->GetState().JobMemory() + m_replicatedJobMemory + aJob.m_memory;
+  if (m_replicatedJobBytes + aBytes > limits.m_replicatedJobBytes ||
+      stored > limits.m_storedJobBytes) {
     LogLine(LogLevel::Warning, "job_without_room")
-      .Add("job", aJob)
+      .Add("job", aJob.m_id)
       .Add("bytes", aBytes)
       .Add("replicated", m_replicatedJobBytes)
-      .Add("limit", limit);
+      .Add("limit", limits.m_replicatedJobBytes)
+      .Add("stored", stored)
+      .Add("stored_limit", limits.m_storedJobBytes);
     return false;
   }
-  m_replicatedJobs.try_emplace(aJob);
+  m_replicatedJobs.try_emplace(aJob.m_id);
   m_replicatedJobBytes += aBytes;
+  m_replicatedJobMemory += aJob.m_memory;
   return true;
 }
 
 void StoreService::FinishReplication(
-  const JobId& aJob,
+  const SubmittedJob& aJob,
   std::size_t aBytes,
   const tl::expected<CommandResult, LinkError>& aResult)
 {
   m_replicatedJobBytes -= aBytes;
-  const auto waiting = m_replicatedJobs.extract(aJob);
+  m_replicatedJobMemory -= aJob.m_memory;
+  const auto waiting = m_replicatedJobs.extract(aJob.m_id);
   for (const auto& callback : waiting.mapped()) {
     callback(aResult);
   }
 }
 
 void StoreService::ProposeEncoded(SharedBytes aCommand,
-                                  std::optional<JobId> aJob,
+                                  std::optional<SubmittedJob> aJob,
                                   ProposalCallback aCallback)
 {
   const std::size_t bytes = aCommand.size();
   if (aJob) {
-    const auto replicated = m_replicatedJobs.find(*aJob);
+    const auto replicated = m_replicatedJobs.find(aJob->m_id);
     if (replicated != m_replicatedJobs.end()) {
       replicated->second.push_back(std::move(aCallback));
       return;
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -33,6 +33,7 @@
 received_mb = 24
 request_bodies_mb = 16
 replicated_jobs_mb = 12
+stored_jobs_mb = 20
 [jobs]
 ranked = true
 [infrastructure]
@@ -59,6 +60,8 @@
   constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
   EXPECT_EQ(settings->m_responseLimits,
             (ResponseLimits{ 8 * kMebibyte, 24 * kMebibyte }));
+  EXPECT_EQ(settings->m_requestLimits,
+            (RequestLimits{ 16 * kMebibyte, 12 * kMebibyte, 20 * kMebibyte }));
   EXPECT_TRUE(settings->m_ranksJobs);
   const auto& infrastructure = settings->m_infrastructure;
   EXPECT_EQ(infrastructure.m_address, "10.0.9.1:8022");
@@ -111,6 +114,9 @@
     FaultCase{ "replicated_jobs_mb = 12",
                "replicated_jobs_mb = \"12\"",
                "limits.replicated_jobs_mb" },
+    FaultCase{ "stored_jobs_mb = 20",
+               "stored_jobs_mb = 0",
+               "limits.stored_jobs_mb" },
     FaultCase{ "ranked = true", "ranked = 1", "jobs.ranked" },
     FaultCase{ "10.0.9.1:8022", "nowhere", "infrastructure.address" },
     FaultCase{ "usage_report", "usage", "infrastructure.duties" },
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -80,6 +80,31 @@
   State m_state;
 };
 
+// Guards against jobs that fill the memory of a store: a leader refuses new
+// ones by this figure, which has to fall again when they end and are forgotten.
+TEST_F(StateTest, CountsTheMemoryOfItsJobs)
+{
+  EXPECT_EQ(m_state.JobMemory(), 0U);
+  constexpr std::size_t kItems = 100;
+  AcceptJob("a", kItems);
+  const std::size_t one = m_state.JobMemory();
+  EXPECT_GT(one, kItems * sizeof(JobItem));
+  AcceptJob("a", kItems);
+  EXPECT_EQ(m_state.JobMemory(), one);
+  AcceptJob("b", kItems);
+  EXPECT_EQ(m_state.JobMemory(), 2 * one);
+  const auto restored = State::Restore(m_state.Snapshot(), *m_outputs);
+  ASSERT_TRUE(restored);
+  EXPECT_EQ(restored->JobMemory(), m_state.JobMemory());
+  Apply(EndJob{ JobId("a") });
+  EXPECT_LT(m_state.JobMemory(), one + one / 2);
+  Apply(EndJob{ JobId("a") });
+  Apply(ForgetJobs{ { JobId("a") } });
+  EXPECT_EQ(m_state.JobMemory(), one);
+  Apply(ForgetJobs{ { JobId("b") } });
+  EXPECT_EQ(m_state.JobMemory(), 0U);
+}
+
 TEST_F(StateTest, TheHighestConfigurationWins)
 {
   Apply(PutConfiguration{ ConfigurationVersion(5), "five" });
