Refuse a job whose items do not fit into memory

What callers saw: one job of legal size with very many short items took an entry instance beyond its memory (7.9 MB: 62 MiB at a bound of 48; 33 MB with the default limits of a machine of 110 MiB: 221 MiB); on the platform the process ends.

Cause: limits.request_bodies_mb counts the bytes of the body. An item of 80 bytes takes 450 when it is decoded.

Why this works: the items are decoded one by one, and reading stops when they exceed limits.request_bodies_mb in memory. The answer is 413, since the job will never fit; what fits but has no room now still gets 503. With the default of the smallest machine, 33 MB, a job of 70,000 short items fits; the platform's trainers send a few hundred.

--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -22,6 +22,13 @@
   return aInfo.param.m_name;
 }
 
+constexpr std::size_t kMaxJobBytes = std::size_t{ 1024 } * 1024;
+
+Decoded<fleet::JobSpec> ReadJob(std::string_view aText)
+{
+  return ReadJobSpec(aText, kMaxJobBytes);
+}
+
 Json ValidHeartbeat()
 {
   return { { "service", "s" },    { "address", "10.0.0.1:80" },
@@ -151,7 +158,7 @@
 {
   EXPECT_FALSE(ReadHeartbeat("i", GetParam()));
   EXPECT_FALSE(ReadManifest(GetParam()));
-  EXPECT_FALSE(ReadJobSpec(GetParam()));
+  EXPECT_FALSE(ReadJob(GetParam()));
   EXPECT_FALSE(ReadPublishedVersion(GetParam()));
 }
 
@@ -345,7 +352,7 @@
 
 TEST(JobSpecTest, TranslatesAllFields)
 {
-  const auto spec = ReadJobSpec(
+  const auto spec = ReadJob(
     R"({"step":7,"model":"m","min_version":6,"target_groups":2,
         "requests":[{"id":"i","path":"/p/1","headers":{"X-Length-Hint":"900"},
         "body":"q83vEjRWeA==","tokens":9,"group":"g"}]})");
@@ -362,7 +369,7 @@
 // one, and against objects elsewhere in the document that are taken for items.
 TEST(JobSpecTest, ReadsItemsInOrder)
 {
-  const auto spec = ReadJobSpec(
+  const auto spec = ReadJob(
     R"({"other":[{"id":"x"}],"deep":{"requests":[{"id":"y"}]},
         "requests":[
           {"id":"a","path":"/p","body":"","headers":{"X":"1"}},
@@ -376,6 +383,22 @@
   EXPECT_EQ(spec->m_minVersion, WeightVersion(3));
 }
 
+// Guards against a job of legal size whose items take more memory than there
+// is: short items take several times their bytes in the document.
+TEST(JobSpecTest, RefusesItemsThatTakeTooMuchMemory)
+{
+  const Json item{ { "id", "i" }, { "path", "/p" }, { "body", "" } };
+  constexpr std::size_t kItems = 5000;
+  const Json document{ { "requests", Json(kItems, item) } };
+  const std::string text = document.dump();
+  ASSERT_LT(text.size(), kMaxJobBytes);
+  const auto spec = ReadJob(text);
+  ASSERT_FALSE(spec);
+  EXPECT_EQ(spec.error().m_field, "requests");
+  EXPECT_EQ(spec.error().m_fault, DocumentFault::TooLarge);
+  EXPECT_TRUE(ReadJobSpec(text, 4 * kMaxJobBytes));
+}
+
 /** A job with one item whose field has a value that would end a header line or
  * the request line at the engine. */
 struct InjectionCase
@@ -400,7 +423,7 @@
     item[GetParam().m_field] = GetParam().m_value;
   }
   const Json items = Json::array({ item });
-  EXPECT_FALSE(ReadJobSpec(Json{ { "requests", items } }.dump()));
+  EXPECT_FALSE(ReadJob(Json{ { "requests", items } }.dump()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -433,7 +456,7 @@
 
 TEST(JobSpecTest, TranslatesRewardCalls)
 {
-  const auto spec = ReadJobSpec(JobWithRewards().dump());
+  const auto spec = ReadJob(JobWithRewards().dump());
   ASSERT_TRUE(spec);
   const fleet::RewardCall expected{
     fleet::RewardId("reward-b"), "app.example", "/score/1", "prompt"
@@ -449,7 +472,7 @@
 {
   Json document = JobWithRewards();
   GetParam().m_change(document["requests"][1]["scorer"]);
-  const auto spec = ReadJobSpec(document.dump());
+  const auto spec = ReadJob(document.dump());
   EXPECT_EQ(spec ? "" : spec.error().m_field, GetParam().m_problem);
 }
 
@@ -492,7 +515,7 @@
 
 TEST_P(BadJobSpecTest, IsRefused)
 {
-  EXPECT_FALSE(ReadJobSpec(GetParam()));
+  EXPECT_FALSE(ReadJob(GetParam()));
 }
 
 INSTANTIATE_TEST_SUITE_P(
