Encode the command that submits a job without a larger second buffer

What callers saw: 8 jobs of 33 MB with items of 600 KB, with the default limits of a machine of 110 MiB, took the entry instance to 111 MiB.

Cause: Encode grew its buffer by doubling, so that the items, a full buffer and one of twice its size were in memory at the same time. Samples of the resident memory show it rise from 76 to 114 MB within 20 ms, after the items were read.

Why this works: the buffer is allocated at once. The memory of the decoded items is more than their encoded size; pages that are not written take no memory.

--- a/src/auburntrestle/fleet/codec.cpp
+++ b/src/auburntrestle/fleet/codec.cpp
@@ -1,12 +1,18 @@
 #include "auburntrestle/fleet/codec.hpp"
 
 #include "auburntrestle/fleet/internal/fields.hpp"
+#include "auburntrestle/fleet/job_memory.hpp"
 
 namespace auburntrestle::fleet {
 
 std::string Encode(const Command& aCommand)
 {
-  return protocol::Pack(aCommand);
+  protocol::Writer writer;
+  if (const auto* accept = std::get_if<AcceptJob>(&aCommand)) {
+    writer.Reserve(MemoryOf(accept->m_spec.m_items));
+  }
+  writer.Write(aCommand);
+  return writer.ExtractBytes();
 }
 
 protocol::Expected<Command> DecodeCommand(std::string_view aBytes)
