Bound the replies to reads of jobs at the leader and at entry instances

What callers saw: 100 clients that asked 20 times each for an item's body of 450 KB took the entry instance to 54 MiB and the store to 56 MiB, at a bound of 48; on the platform both end.

Cause: the leader loaded and encoded a reply for each read at once, for a queue that takes 128 MiB for each peer; the entry instance kept the replies that its loop had not handled yet, whatever their number.

PeerTransport.CountsTheRepliesThatWaitToBeSent checks the leader's figure.

Why this works: the leader makes a reply only while those that wait to be written are within limits.replies_mb, a tenth of the memory by default; an entry instance discards one that comes while those that it has not handled are at the limit. One reply is always allowed, so that a single read of the largest body is served. A read that was refused or discarded is tried again with backoff until its timeout, and then answered 503. Only reads of jobs are concerned; commands, watches and the log never wait for them.

Quota moves to core, since fleet uses it too.

--- a/src/auburntrestle/protocol/internal/quota.hpp
+++ b/src/auburntrestle/core/quota.hpp
@@ -1,14 +1,14 @@
-#ifndef AUBURNTRESTLE_PROTOCOL_INTERNAL_QUOTA_HPP
-#define AUBURNTRESTLE_PROTOCOL_INTERNAL_QUOTA_HPP
+#ifndef AUBURNTRESTLE_CORE_QUOTA_HPP
+#define AUBURNTRESTLE_CORE_QUOTA_HPP
 
 #include <cstddef>
 #include <memory>
 #include <mutex>
 #include <utility>
 
-namespace auburntrestle::protocol::internal {
+namespace auburntrestle {
 
-/** Limits the frames and bytes queued for one peer. Thread-safe. */
+/** Limits, or only counts, queued frames and bytes. Thread-safe. */
 class Quota
 {
 public:
@@ -32,6 +32,20 @@
     return !full;
   }
 
+  /** Acquires a frame of aBytes, also when the queue is full. */
+  void Acquire(std::size_t aBytes)
+  {
+    const std::lock_guard lock(m_mutex);
+    ++m_frames;
+    m_bytes += aBytes;
+  }
+
+  [[nodiscard]] std::size_t Bytes()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_bytes;
+  }
+
   void Release(std::size_t aBytes)
   {
     const std::lock_guard lock(m_mutex);
@@ -47,7 +61,7 @@
   std::size_t m_bytes = 0;
 };
 
-/** A frame acquired from a quota, released on destruction. */
+/** A frame acquired from a quota; released by the destructor. */
 class Reservation
 {
 public:
@@ -76,6 +90,6 @@
   std::size_t m_bytes = 0;
 };
 
-} // namespace auburntrestle::protocol::internal
+} // namespace auburntrestle
 
 #endif
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -95,6 +95,7 @@
 {
   m_link = std::make_unique<LeaderLink>(
     m_loop, m_options.m_self, m_options.m_seeds, std::nullopt);
+  m_link->SetReplyLimit(m_options.m_requestLimits.m_replyBytes);
   auto transport = StartPeerTransport(m_options, protocol::PeerHandlers{});
   if (!transport) {
     return tl::make_unexpected(transport.error());
--- a/src/auburntrestle/fleet/instance_settings.cpp
+++ b/src/auburntrestle/fleet/instance_settings.cpp
@@ -212,6 +212,7 @@
   aReader.Mebibytes("limits.request_bodies_mb", requests.m_bodyBytes);
   aReader.Mebibytes("limits.replicated_jobs_mb", requests.m_replicatedJobBytes);
   aReader.Mebibytes("limits.stored_jobs_mb", requests.m_storedJobBytes);
+  aReader.Mebibytes("limits.replies_mb", requests.m_replyBytes);
   ClientLimits& clients = aSettings.m_clientLimits;
   aReader.Mebibytes("limits.connections_mb", clients.m_connectionBytes);
   aReader.Count("limits.client_connections", clients.m_connections);
--- a/src/auburntrestle/fleet/leader_link.cpp
+++ b/src/auburntrestle/fleet/leader_link.cpp
@@ -16,6 +16,29 @@
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(10);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(100);
 
+/** @return whether the reply to a query can be long, and the query can be
+ * repeated. */
+bool IsJobRead(const std::optional<Query>& aQuery)
+{
+  return aQuery && (std::holds_alternative<ReadJob>(*aQuery) ||
+                    std::holds_alternative<ReadItem>(*aQuery));
+}
+
+/** Discards a reply for which there is no room.
+ * @return what the reply holds of the quota until it is handled. */
+std::shared_ptr<Reservation> TakeRoom(const std::shared_ptr<Quota>& aQuota,
+                                      protocol::Expected<std::string>& aReply)
+{
+  if (!aReply) {
+    return nullptr;
+  }
+  if (!aQuota->TryAcquire(aReply->size())) {
+    aReply = protocol::Fail(protocol::ProtocolErrorCode::QueueFull);
+    return nullptr;
+  }
+  return std::make_shared<Reservation>(aQuota, aReply->size());
+}
+
 } // namespace
 
 std::string_view ToString(LinkError aError) noexcept
@@ -59,6 +82,11 @@
   m_transport = aTransport;
 }
 
+void LeaderLink::SetReplyLimit(std::size_t aBytes)
+{
+  m_replies = MakeQuota(aBytes);
+}
+
 void LeaderLink::SetSeeds(std::vector<InstanceId> aSeeds)
 {
   m_seeds = std::move(aSeeds);
@@ -233,18 +261,26 @@
     }
   }
   const Duration left = aPending->m_deadline - MonotonicClock::Now();
-  const auto sent = m_transport->Call(
-    *target,
-    aPending->m_method,
-    aPending->m_payload,
-    std::min(left,
-             kAttemptTimeout + aPending->m_maxWait +
-               TransferTime(aPending->m_payload.size())),
-    [this, aPending, target = *target](protocol::Expected<std::string> aReply) {
-      m_loop.Post([this, aPending, target, reply = std::move(aReply)] {
-        HandleReply(aPending, target, reply);
-      });
-    });
+  const auto sent =
+    m_transport->Call(*target,
+                      aPending->m_method,
+                      aPending->m_payload,
+                      std::min(left,
+                               kAttemptTimeout + aPending->m_maxWait +
+                                 TransferTime(aPending->m_payload.size())),
+                      [this, aPending, target = *target, quota = m_replies](
+                        protocol::Expected<std::string> aReply) {
+                        auto room = IsJobRead(aPending->m_query)
+                                      ? TakeRoom(quota, aReply)
+                                      : nullptr;
+                        m_loop.Post([this,
+                                     aPending,
+                                     target,
+                                     reply = std::move(aReply),
+                                     room = std::move(room)] {
+                          HandleReply(aPending, target, reply);
+                        });
+                      });
   if (!sent) {
     m_target.reset();
     ScheduleRetry(aPending);
@@ -266,7 +302,7 @@
       .Add("instance", aTarget);
     aPending->m_mayHaveRun = true;
     m_target.reset();
-  } else {
+  } else if (aReply.error().m_code != protocol::ProtocolErrorCode::QueueFull) {
     aPending->m_mayHaveRun |= protocol::MayHaveRun(aReply.error().m_code);
     if (m_target == aTarget || !m_target) {
       m_target.reset();
--- a/src/auburntrestle/fleet/leader_link.hpp
+++ b/src/auburntrestle/fleet/leader_link.hpp
@@ -1,14 +1,17 @@
 #ifndef AUBURNTRESTLE_FLEET_LEADER_LINK_HPP
 #define AUBURNTRESTLE_FLEET_LEADER_LINK_HPP
 
+#include "auburntrestle/core/quota.hpp"
 #include "auburntrestle/event_loop/event_loop.hpp"
 #include "auburntrestle/fleet/messages.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -75,6 +78,10 @@
    * first request. */
   void SetTransport(protocol::PeerTransport* aTransport);
 
+  /** Sets the maximum bytes of replies to reads of jobs that wait to be
+   * handled. Further ones are discarded and asked for again. */
+  void SetReplyLimit(std::size_t aBytes);
+
   void Propose(Command aCommand, Duration aTimeout, CommandCallback aCallback);
   /** @param aMaxWait how long the leader may defer its reply. */
   void SendQuery(const Query& aQuery,
@@ -98,6 +105,13 @@
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
 
+  static constexpr std::size_t kUnlimited =
+    std::numeric_limits<std::size_t>::max();
+
+  [[nodiscard]] static std::shared_ptr<Quota> MakeQuota(std::size_t aBytes)
+  {
+    return std::make_shared<Quota>(kUnlimited, aBytes);
+  }
   void Try(const PendingPtr& aPending);
   void TryLocal(const PendingPtr& aPending);
   void TryRemote(const PendingPtr& aPending);
@@ -120,6 +134,8 @@
    */
   std::optional<InstanceId> m_target;
   std::size_t m_nextCandidate = 0;
+  /** Counts the replies to reads of jobs that wait to be handled. */
+  std::shared_ptr<Quota> m_replies = MakeQuota(kUnlimited);
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/memory_limits.cpp
+++ b/src/auburntrestle/fleet/memory_limits.cpp
@@ -30,6 +30,11 @@
 /** What the jobs of a busy deployment take is a small part of it. */
 constexpr double kStoredJobShare = 0.25;
 constexpr std::uint64_t kMaxStoredJobBytes = 256 * kMebibyte;
+/** A reply is held twice or three times while it is made or read. */
+constexpr double kReplyShare = 0.1;
+constexpr std::uint64_t kMinReplyBytes = 4 * kMebibyte;
+constexpr std::uint64_t kMaxReplyBytes = 32 * kMebibyte;
+
 /** An ordinary connection holds 5 KiB, so that these suffice for thousands. */
 constexpr double kConnectionShare = 0.2;
 constexpr std::uint64_t kMinConnectionBytes = 4 * kMebibyte;
@@ -55,11 +60,14 @@
 
 RequestLimits RequestLimitsFor(std::uint64_t aMemoryBytes) noexcept
 {
-  return { ShareOf(aMemoryBytes, kBodyShare),
-           ShareOf(aMemoryBytes, kReplicatedJobShare),
-           std::clamp(Share(aMemoryBytes, kStoredJobShare),
-                      kMinRequestBytes,
-                      kMaxStoredJobBytes) };
+  return {
+    ShareOf(aMemoryBytes, kBodyShare),
+    ShareOf(aMemoryBytes, kReplicatedJobShare),
+    std::clamp(Share(aMemoryBytes, kStoredJobShare),
+               kMinRequestBytes,
+               kMaxStoredJobBytes),
+    std::clamp(Share(aMemoryBytes, kReplyShare), kMinReplyBytes, kMaxReplyBytes)
+  };
 }
 
 ClientLimits ClientLimitsFor(std::uint64_t aMemoryBytes,
--- a/src/auburntrestle/fleet/memory_limits.hpp
+++ b/src/auburntrestle/fleet/memory_limits.hpp
@@ -28,6 +28,9 @@
   std::size_t m_replicatedJobBytes = 0;
   /** Maximum bytes that all jobs take in the memory of a store. */
   std::size_t m_storedJobBytes = 0;
+  /** Maximum bytes of replies to reads of jobs: at a leader, of those that wait
+   * to be sent; at an entry instance, of those that wait to be handled. */
+  std::size_t m_replyBytes = 0;
 
   friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
 };
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -26,12 +26,14 @@
   Replica& aReplica,
   std::function<DirectorySource()> aGetSource,
   std::function<PermitView(const RequestPermit&)> aGrantPermit,
-  std::function<UsageView(const SubmitUsage&)> aSubmitUsage)
+  std::function<UsageView(const SubmitUsage&)> aSubmitUsage,
+  std::function<bool()> aHasRoom)
   : m_loop(aLoop)
   , m_replica(aReplica)
   , m_getSource(std::move(aGetSource))
   , m_grantPermit(std::move(aGrantPermit))
   , m_submitUsage(std::move(aSubmitUsage))
+  , m_hasRoom(std::move(aHasRoom))
 {
 }
 
@@ -65,6 +67,10 @@
                          job->m_results.size() < job->m_total)) {
     return std::nullopt;
   }
+  const bool isLong = aQuery.m_after < job->m_results.size();
+  if (isLong && !m_hasRoom()) {
+    return std::nullopt;
+  }
   JobView view;
   view.m_exists = true;
   view.m_total = job->m_total;
@@ -95,7 +101,7 @@
 std::optional<ReplyBody> QueryServer::TryRead(const ReadItem& aQuery) const
 {
   const Job* job = FindVisibleJob(aQuery);
-  if (job == nullptr) {
+  if (job == nullptr || !m_hasRoom()) {
     return std::nullopt;
   }
   ItemView view;
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -40,12 +40,15 @@
    * @param aGetSource provides the source of a view at the time of its reply.
    * @param aGrantPermit decides on a request for a permit.
    * @param aSubmitUsage takes over the usage counts of an entry instance.
+   * @param aHasRoom returns whether another reply to a read of a job may be
+   *   made; otherwise the read is refused, to be tried again.
    */
   QueryServer(event_loop::EventLoop& aLoop,
               Replica& aReplica,
               std::function<DirectorySource()> aGetSource,
               std::function<PermitView(const RequestPermit&)> aGrantPermit,
-              std::function<UsageView(const SubmitUsage&)> aSubmitUsage);
+              std::function<UsageView(const SubmitUsage&)> aSubmitUsage,
+              std::function<bool()> aHasRoom);
   QueryServer(const QueryServer&) = delete;
   QueryServer& operator=(const QueryServer&) = delete;
 
@@ -95,6 +98,7 @@
   std::function<DirectorySource()> m_getSource;
   std::function<PermitView(const RequestPermit&)> m_grantPermit;
   std::function<UsageView(const SubmitUsage&)> m_submitUsage;
+  std::function<bool()> m_hasRoom;
   std::list<DeferredQuery> m_deferred;
   bool m_answerScheduled = false;
 };
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -96,6 +96,10 @@
     [this](const RequestPermit& aRequest) { return GrantPermit(aRequest); },
     [this](const fleet::SubmitUsage& aSubmission) {
       return SubmitUsage(aSubmission);
+    },
+    [this] {
+      return m_transport->QueuedReplyBytes() <=
+             m_options.m_requestLimits.m_replyBytes;
     });
   m_client = std::make_unique<BackendClient>(
     m_loop,
--- a/src/auburntrestle/protocol/internal/connection.hpp
+++ b/src/auburntrestle/protocol/internal/connection.hpp
@@ -1,10 +1,10 @@
 #ifndef AUBURNTRESTLE_PROTOCOL_INTERNAL_CONNECTION_HPP
 #define AUBURNTRESTLE_PROTOCOL_INTERNAL_CONNECTION_HPP
 
+#include "auburntrestle/core/quota.hpp"
 #include "auburntrestle/core/time.hpp"
 #include "auburntrestle/protocol/codec.hpp"
 #include "auburntrestle/protocol/internal/counter_store.hpp"
-#include "auburntrestle/protocol/internal/quota.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <asio/ip/tcp.hpp>
--- a/src/auburntrestle/protocol/internal/link.hpp
+++ b/src/auburntrestle/protocol/internal/link.hpp
@@ -1,9 +1,9 @@
 #ifndef AUBURNTRESTLE_PROTOCOL_INTERNAL_LINK_HPP
 #define AUBURNTRESTLE_PROTOCOL_INTERNAL_LINK_HPP
 
+#include "auburntrestle/core/quota.hpp"
 #include "auburntrestle/core/random.hpp"
 #include "auburntrestle/protocol/internal/connection.hpp"
-#include "auburntrestle/protocol/internal/quota.hpp"
 #include "auburntrestle/protocol/peer_transport.hpp"
 
 #include <asio/io_context.hpp>
--- a/src/auburntrestle/protocol/peer_transport.cpp
+++ b/src/auburntrestle/protocol/peer_transport.cpp
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <atomic>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -84,6 +85,10 @@
                       CallFrame aFrame,
                       ReplyCallback aCallback);
   void PostReply(const std::weak_ptr<Connection>& aConnection, Frame aFrame);
+  [[nodiscard]] std::size_t QueuedReplyBytes() const
+  {
+    return m_replies->Bytes();
+  }
 
   [[nodiscard]] TransportCounters Counters() const { return m_counters.Copy(); }
   [[nodiscard]] std::uint16_t Port() const noexcept { return m_port; }
@@ -106,6 +111,10 @@
   PeerTransportOptions m_options;
   PeerHandlers m_handlers;
   CounterStore m_counters;
+  /** Counts the replies that are not written yet. */
+  std::shared_ptr<Quota> m_replies =
+    std::make_shared<Quota>(std::numeric_limits<std::size_t>::max(),
+                            std::numeric_limits<std::size_t>::max());
   asio::ip::tcp::acceptor m_acceptor;
   asio::steady_timer m_acceptTimer;
   std::uint16_t m_port = 0;
@@ -308,21 +317,28 @@
 void TransportCore::PostReply(const std::weak_ptr<Connection>& aConnection,
                               Frame aFrame)
 {
-  asio::post(m_io, [aConnection, frame = std::move(aFrame)] {
-    const auto connection = aConnection.lock();
-    if (connection == nullptr) {
-      return;
-    }
-    const auto result = connection->Write(frame, {});
-    const auto* reply = std::get_if<ReplyFrame>(&frame);
-    if (!result && result.error().m_code == ProtocolErrorCode::TooLarge &&
-        reply != nullptr) {
-      (void)connection->Write(FailureFrame{ reply->m_id,
-                                            CallFailure::Failed,
-                                            "the answer is too large" },
-                              {});
-    }
-  });
+  const auto* sent = std::get_if<ReplyFrame>(&aFrame);
+  const std::size_t bytes = sent != nullptr ? sent->m_payload.size() : 0;
+  m_replies->Acquire(bytes);
+  asio::post(
+    m_io,
+    [aConnection,
+     frame = std::move(aFrame),
+     reservation = Reservation(m_replies, bytes)]() mutable {
+      const auto connection = aConnection.lock();
+      if (connection == nullptr) {
+        return;
+      }
+      const auto result = connection->Write(frame, std::move(reservation));
+      const auto* reply = std::get_if<ReplyFrame>(&frame);
+      if (!result && result.error().m_code == ProtocolErrorCode::TooLarge &&
+          reply != nullptr) {
+        (void)connection->Write(FailureFrame{ reply->m_id,
+                                              CallFailure::Failed,
+                                              "the answer is too large" },
+                                {});
+      }
+    });
 }
 
 void TransportCore::Accept()
@@ -493,6 +509,11 @@
     std::move(aCallback));
 }
 
+std::size_t PeerTransport::QueuedReplyBytes() const
+{
+  return m_core->QueuedReplyBytes();
+}
+
 TransportCounters PeerTransport::Counters() const
 {
   return m_core->Counters();
--- a/src/auburntrestle/protocol/peer_transport.hpp
+++ b/src/auburntrestle/protocol/peer_transport.hpp
@@ -156,6 +156,10 @@
                       Duration aTimeout,
                       ReplyCallback aCallback);
 
+  /** @return the bytes of replies that were sent with Reply::Send and are not
+   * written yet. */
+  [[nodiscard]] std::size_t QueuedReplyBytes() const;
+
   /** @return a copy of the counters. */
   [[nodiscard]] TransportCounters Counters() const;
 
--- a/test/auburntrestle/fleet/instance_settings_test.cpp
+++ b/test/auburntrestle/fleet/instance_settings_test.cpp
@@ -34,6 +34,7 @@
 request_bodies_mb = 16
 replicated_jobs_mb = 12
 stored_jobs_mb = 20
+replies_mb = 5
 [jobs]
 ranked = true
 [infrastructure]
@@ -61,7 +62,8 @@
   EXPECT_EQ(settings->m_responseLimits,
             (ResponseLimits{ 8 * kMebibyte, 24 * kMebibyte }));
   EXPECT_EQ(settings->m_requestLimits,
-            (RequestLimits{ 16 * kMebibyte, 12 * kMebibyte, 20 * kMebibyte }));
+            (RequestLimits{
+              16 * kMebibyte, 12 * kMebibyte, 20 * kMebibyte, 5 * kMebibyte }));
   EXPECT_TRUE(settings->m_ranksJobs);
   const auto& infrastructure = settings->m_infrastructure;
   EXPECT_EQ(infrastructure.m_address, "10.0.9.1:8022");
@@ -117,6 +119,7 @@
     FaultCase{ "stored_jobs_mb = 20",
                "stored_jobs_mb = 0",
                "limits.stored_jobs_mb" },
+    FaultCase{ "replies_mb = 5", "replies_mb = 5.5", "limits.replies_mb" },
     FaultCase{ "ranked = true", "ranked = 1", "jobs.ranked" },
     FaultCase{ "10.0.9.1:8022", "nowhere", "infrastructure.address" },
     FaultCase{ "usage_report", "usage", "infrastructure.duties" },
--- a/test/auburntrestle/fleet/memory_limits_test.cpp
+++ b/test/auburntrestle/fleet/memory_limits_test.cpp
@@ -36,12 +36,15 @@
 TEST(RequestLimitsTest, FollowTheMemory)
 {
   EXPECT_EQ(RequestLimitsFor(0),
-            (RequestLimits{ 8 * kMebibyte, 8 * kMebibyte, 8 * kMebibyte }));
+            (RequestLimits{
+              8 * kMebibyte, 8 * kMebibyte, 8 * kMebibyte, 4 * kMebibyte }));
   EXPECT_EQ(RequestLimitsFor(100 * kMebibyte).m_bodyBytes, 30 * kMebibyte);
   EXPECT_EQ(RequestLimitsFor(200 * kMebibyte).m_replicatedJobBytes,
             33 * kMebibyte);
-  EXPECT_EQ(RequestLimitsFor(65536 * kMebibyte),
-            (RequestLimits{ 64 * kMebibyte, 64 * kMebibyte, 256 * kMebibyte }));
+  EXPECT_EQ(
+    RequestLimitsFor(65536 * kMebibyte),
+    (RequestLimits{
+      64 * kMebibyte, 64 * kMebibyte, 256 * kMebibyte, 32 * kMebibyte }));
 }
 
 TEST(MachineMemoryTest, IsKnown)
--- a/test/auburntrestle/protocol/peer_transport_test.cpp
+++ b/test/auburntrestle/protocol/peer_transport_test.cpp
@@ -93,6 +93,34 @@
   }
 }
 
+// Guards against long replies that pile up for peers: those who make them
+// decide by this figure, which has to fall again when they are written or
+// dropped.
+TEST(PeerTransport, CountsTheRepliesThatWaitToBeSent)
+{
+  constexpr std::size_t kBytes = 1'000'000;
+  Mailbox<std::size_t> queued;
+  std::unique_ptr<PeerTransport> right;
+  PeerHandlers handlers;
+  handlers.m_onCall = [&](const InstanceId& /*aFrom*/,
+                          Method /*aMethod*/,
+                          const std::string& /*aPayload*/,
+                          const Reply& aReply) {
+    aReply.Send(std::string(kBytes, 'x'));
+    queued.Put(right->QueuedReplyBytes());
+  };
+  right = MustStart(OptionsFor(kRight), handlers);
+  const auto left = MustStart(OptionsFor(kLeft));
+  ASSERT_TRUE(left->SetPeer(kRight, AddressOf(right->Port())));
+  Mailbox<Expected<std::string>> result;
+  ASSERT_TRUE(left->Call(kRight, kEcho, "x", seconds(600), StoreIn(result)));
+  EXPECT_EQ(queued.Pop(), kBytes);
+  ASSERT_EQ(result.Pop()->size(), kBytes);
+  while (right->QueuedReplyBytes() > 0) {
+    std::this_thread::yield();
+  }
+}
+
 // Guards against replies that reach another call, and against an error code
 // that would allow repeating work that ran.
 TEST(PeerTransport, EachCallGetsItsOwnOutcome)
