Free the memory of strings that are given up

What callers saw: eight jobs of 33 MB took an entry instance of the smallest machine to 111 MiB of 110 (crowd jobs_of_large_items of DefaultLimitsTest).

Cause: the text of a job was given up with m_body = std::string(). A string to which a short one is assigned keeps its memory, so that the text stayed until the response. A log of the allocations over 2 MB shows it: 32.8 MB are freed with the reply of the leader, after the items, the encoded command and the frame were allocated. The same pattern kept the buffers of connections, and in the state of the stores the memory of bodies that had been moved to files.

StateTest.KeepsNoMemoryForStoredBodies is the test of the bodies in the state.

Why this works: ReleaseMemory swaps with an empty container, which takes the memory along.

ServerResources moves a connection within its queues without an allocation.

--- a/src/auburntrestle/fleet/state.cpp
+++ b/src/auburntrestle/fleet/state.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/fleet/state.hpp"
 
+#include "auburntrestle/core/release_memory.hpp"
 #include "auburntrestle/fleet/job_memory.hpp"
 #include "auburntrestle/observe/log.hpp"
 
@@ -293,7 +294,7 @@
     return tl::make_unexpected(reference.error());
   }
   aStored = *reference;
-  aBody = std::string();
+  ReleaseMemory(aBody);
   return {};
 }
 
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/http/internal/client_connection.hpp"
 
+#include "auburntrestle/core/release_memory.hpp"
 #include "auburntrestle/settings/socket_address.hpp"
 
 #include <asio/write.hpp>
@@ -184,7 +185,7 @@
       // A failed write is also reported by the pending read, which may still
       // receive a response that was sent early.
       if (!aError) {
-        self->m_output = std::string();
+        ReleaseMemory(self->m_output);
         self->m_outputBody = {};
       }
     });
--- a/src/auburntrestle/http/internal/parser.cpp
+++ b/src/auburntrestle/http/internal/parser.cpp
@@ -1,5 +1,7 @@
 #include "auburntrestle/http/internal/parser.hpp"
 
+#include "auburntrestle/core/release_memory.hpp"
+
 #include <limits>
 #include <utility>
 
@@ -127,7 +129,7 @@
   m_inValue = false;
   m_target.clear();
   // Also returns the memory of a large body that was not extracted.
-  m_body = std::string();
+  ReleaseMemory(m_body);
   m_headerBytes = 0;
   m_fieldBytes = 0;
   m_keepAlive = false;
--- a/src/auburntrestle/http/internal/server_connection.cpp
+++ b/src/auburntrestle/http/internal/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "auburntrestle/http/internal/server_connection.hpp"
 
+#include "auburntrestle/core/release_memory.hpp"
+
 #include <asio/write.hpp>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -182,7 +184,7 @@
   m_input.append(m_buffer.data(), aBytes);
   ProcessInput();
   if (m_input.empty()) {
-    m_input = std::string();
+    ReleaseMemory(m_input);
   }
   ResizeBuffer();
   if (!m_lingering && !TryHoldMemory()) {
@@ -329,7 +331,7 @@
 void ServerConnection::RefuseAndClose(int aStatus)
 {
   m_keepAlive = false;
-  m_input = std::string();
+  ReleaseMemory(m_input);
   m_parser.Reset();
   m_exchangeBytes = 0;
   ReleaseBody();
@@ -406,7 +408,7 @@
 void ServerConnection::OnWritten(const asio::error_code& aError)
 {
   m_writing = false;
-  m_output = std::string();
+  ReleaseMemory(m_output);
   if (m_closed) {
     return;
   }
--- a/src/auburntrestle/http/server_resources.cpp
+++ b/src/auburntrestle/http/server_resources.cpp
@@ -76,9 +76,10 @@
                            ConnectionStage aStage,
                            TimePoint aProgressAt)
 {
-  QueueOf(aConnection->m_stage).erase(aConnection->m_position);
+  auto node = QueueOf(aConnection->m_stage).extract(aConnection->m_position);
+  node.key() = aProgressAt;
   aConnection->m_stage = aStage;
-  aConnection->m_position = QueueOf(aStage).emplace(aProgressAt, aConnection);
+  aConnection->m_position = QueueOf(aStage).insert(std::move(node));
 }
 
 void ServerResources::EnterStage(Handle aConnection,
--- a/test/auburntrestle/fleet/state_test.cpp
+++ b/test/auburntrestle/fleet/state_test.cpp
@@ -80,6 +80,20 @@
   State m_state;
 };
 
+// Guards against large bodies that stay in memory although they are in files.
+TEST_F(StateTest, KeepsNoMemoryForStoredBodies)
+{
+  constexpr std::size_t kBytes = 1'000'000;
+  fleet::AcceptJob command;
+  command.m_spec.m_id = JobId("a");
+  command.m_spec.m_items.emplace_back().m_id = ItemId("item");
+  command.m_spec.m_items.back().m_body = std::string(kBytes, 'x');
+  Apply(command);
+  const JobItem& item = m_state.FindJob(JobId("a"))->m_spec->m_items.at(0);
+  ASSERT_TRUE(item.m_storedBody);
+  EXPECT_LT(item.m_body.capacity(), sizeof(std::string));
+}
+
 // Guards against jobs that fill the memory of a store: a leader refuses new
 // ones by this figure, which has to fall again when they end and are forgotten.
 TEST_F(StateTest, CountsTheMemoryOfItsJobs)
