Filter header fields in n log n

Cause: each field was compared with each name that Connection lists. A head of 16 KiB can list 4,000 names and have 2,000 fields, which took 50.6 ms here (bench_headers, FilterFullHead); an entry instance with an eighth of a core needs several times as long, and such requests hold up all others.

Change: the names are in an ordered set. 0.14 ms; 0.39 us in place of 0.35 for an ordinary head.

Not shown with a crowd: the test would depend on the speed of the machine.

--- a/src/auburntrestle/http/message.cpp
+++ b/src/auburntrestle/http/message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <set>
 
 namespace auburntrestle::http {
 
@@ -30,10 +31,30 @@
   return aText;
 }
 
+/** Orders names of fields, ignoring case. */
+struct LessIgnoreCase
+{
+  bool operator()(std::string_view aLeft, std::string_view aRight) const
+  {
+    return std::lexicographical_compare(
+      aLeft.begin(),
+      aLeft.end(),
+      aRight.begin(),
+      aRight.end(),
+      [](unsigned char aOne, unsigned char aOther) {
+        return std::tolower(aOne) < std::tolower(aOther);
+      });
+  }
+};
+
+/** Ordered, because a head can list thousands of names and have thousands of
+ * fields. */
+using FieldNames = std::set<std::string_view, LessIgnoreCase>;
+
 /** @return the field names listed in the Connection fields. */
-std::vector<std::string_view> ParseConnectionOptions(const Headers& aHeaders)
+FieldNames ParseConnectionOptions(const Headers& aHeaders)
 {
-  std::vector<std::string_view> names;
+  FieldNames names;
   for (const auto& [name, value] : aHeaders) {
     if (!EqualsIgnoreCase(name, "connection")) {
       continue;
@@ -41,7 +62,7 @@
     std::string_view rest = value;
     while (!rest.empty()) {
       const auto comma = std::min(rest.find(','), rest.size());
-      names.push_back(Trim(rest.substr(0, comma)));
+      names.insert(Trim(rest.substr(0, comma)));
       rest.remove_prefix(std::min(comma + 1, rest.size()));
     }
   }
@@ -167,16 +188,15 @@
 Headers EndToEndHeaders(const Headers& aHeaders)
 {
   const auto listed = internal::ParseConnectionOptions(aHeaders);
-  const auto containsName = [](const auto& aNames, std::string_view aName) {
+  const auto isHopByHop = [](std::string_view aName) {
     return std::any_of(
-      aNames.begin(), aNames.end(), [&](std::string_view aOther) {
-        return EqualsIgnoreCase(aName, aOther);
-      });
+      internal::kHopByHop.begin(),
+      internal::kHopByHop.end(),
+      [&](std::string_view aOther) { return EqualsIgnoreCase(aName, aOther); });
   };
   Headers kept;
   for (const auto& [name, value] : aHeaders) {
-    if (!containsName(internal::kHopByHop, name) &&
-        !containsName(listed, name)) {
+    if (!isHopByHop(name) && !listed.contains(name)) {
       kept.Add(name, value);
     }
   }
