--- a/src/auburntrestle/http/server_resources.hpp
+++ b/src/auburntrestle/http/server_resources.hpp
@@ -116,8 +116,8 @@
    * limit there is at most this one. */
   void Hold(Handle aConnection, std::size_t aBytes, TimePoint aNow);
 
-  /** Closes the request other than aConnection that made no progress for the
-   * longest time. @return false if none has stalled. */
+  /** Closes the request other than aConnection that is furthest behind.
+   * @return false if none is so far behind that it gives way. */
   bool ShedStalledRequest(Handle aConnection, TimePoint aNow);
 
   [[nodiscard]] std::size_t HeldBytes() const noexcept { return m_heldBytes; }
