--- a/review/third/sampler.hpp
+++ b/review/third/sampler.hpp
@@ -75,6 +75,17 @@
   [[nodiscard]] bool IsListening() const { return m_listener.IsOpen(); }
   [[nodiscard]] bool IsRegistered() const { return m_registered; }
   [[nodiscard]] const std::string& Id() const { return m_options.m_id; }
+  [[nodiscard]] const Address& ListenAddress() const
+  {
+    return m_options.m_listen;
+  }
+  /** @return how often an item was run. */
+  [[nodiscard]] int RunsOf(const std::string& aItem) const
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(aItem);
+    return found == m_runs.end() ? 0 : found->second;
+  }
   [[nodiscard]] std::vector<Order> Orders() const
   {
     const std::lock_guard lock(m_mutex);
