--- a/review/third/deployment.hpp
+++ b/review/third/deployment.hpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -146,6 +147,8 @@
     const auto variable = "AUBURNTRESTLE_BOOT=" + settings.string();
     const pid_t process = ::fork();
     if (process == 0) {
+      // Also if the scenario itself is ended.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log =
         ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, STDOUT_FILENO);
