Report a response as broken off if a reset cut its upload

Callers got a part of a body as a complete response: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written.

Cause: the system reports the loss of a connection once. The pending write of the request took the reset, so the read saw the end of the stream, which completes a response without a length; the client ignored the error of the write.

Now the end of the stream breaks a response off if the write failed, unless with broken_pipe, which the system reports when the end of the stream came before the reset. A connection whose request was not sent completely is not used again either.

--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -173,7 +173,7 @@
 
 void ClientConnection::Send()
 {
-  m_writing = true;
+  m_isSent = false;
   const std::array<asio::const_buffer, 2> request = {
     asio::buffer(m_output), asio::buffer(m_outputBody.Get())
   };
@@ -181,10 +181,11 @@
     m_socket,
     request,
     [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
-      self->m_writing = false;
-      // A failed write is also reported by the pending read, which may still
-      // receive a response that was sent early.
+      self->m_writeError = aError;
+      // After a failed write the pending read may still receive a response that
+      // was sent early.
       if (!aError) {
+        self->m_isSent = true;
         ReleaseMemory(self->m_output);
         self->m_outputBody = {};
       }
@@ -227,7 +228,7 @@
     Finish(tl::make_unexpected(CallFailure::ClosedBeforeResponse));
     return;
   }
-  if (aError == asio::error::eof) {
+  if (aError == asio::error::eof && !WasReset()) {
     m_parser.FeedEnd();
     if (m_parser.GetProgress() == Progress::Complete && !IsForeign()) {
       ReportProgress();
@@ -238,6 +239,11 @@
   Finish(tl::make_unexpected(CallFailure::IncompleteResponse));
 }
 
+bool ClientConnection::WasReset() const
+{
+  return m_writeError && m_writeError != asio::error::broken_pipe;
+}
+
 void ClientConnection::HandleBytes(std::string_view aBytes)
 {
   const auto self = shared_from_this();
@@ -351,7 +357,7 @@
 void ClientConnection::OnComplete(bool aSurplus)
 {
   const auto self = shared_from_this();
-  const bool reusable = !aSurplus && !m_writing && m_parser.KeepAlive();
+  const bool reusable = !aSurplus && m_isSent && m_parser.KeepAlive();
   const auto handlers = ExtractHandlers();
   CancelTimer(m_callTimer);
   if (reusable) {
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -90,6 +90,11 @@
   void Send();
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aBytes);
+  /** @return whether the connection was lost before its end of stream. The
+   * system reports a loss once, to the write or to the read; to the other one
+   * the stream then looks ended. A write fails with broken_pipe if the end of
+   * stream was received before the loss. */
+  [[nodiscard]] bool WasReset() const;
   void HandleBytes(std::string_view aBytes);
   /** @return whether the response being received belongs to another request. */
   [[nodiscard]] bool IsForeign() const;
@@ -129,7 +134,10 @@
   std::optional<timer::TimerId> m_callTimer;
   std::optional<timer::TimerId> m_stageTimer;
   bool m_connected = false;
-  bool m_writing = false;
+  /** The request has been sent completely. */
+  bool m_isSent = false;
+  /** Why the request could not be sent completely. */
+  asio::error_code m_writeError;
   bool m_reading = false;
   bool m_headReported = false;
   bool m_foreignReported = false;
--- a/test/auburntrestle/backend/http_client_test.cpp
+++ b/test/auburntrestle/backend/http_client_test.cpp
@@ -164,5 +164,36 @@
                 CallStatus::Complete }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+using ResetFunction = void (RawPeer::*)();
+
+class ResetDuringUploadTest : public testing::TestWithParam<ResetFunction>
+{};
+
+// Guards against a part of a response without a length that counts as complete
+// because the connection was reset while the request body was still written.
+TEST_P(ResetDuringUploadTest, LeavesNoCompleteResponse)
+{
+  const ScriptedServer server([](RawPeer& aPeer) {
+    aPeer.Send("HTTP/1.1 200 OK\r\n\r\nbo");
+    (aPeer.*GetParam())();
+  });
+  const auto client = HttpClient::Create().value();
+  std::promise<CallStatus> status;
+  HttpCall call;
+  call.m_url = server.Url();
+  // Larger than what the system buffers for a connection.
+  call.m_body.resize(std::size_t{ 32 } * 1024 * 1024, 'x');
+  std::ignore =
+    client->Start(call, { {}, {}, [&status](const CallResult& aResult) {
+                           status.set_value(aResult.m_status);
+                         } });
+  EXPECT_NE(status.get_future().get(), CallStatus::Complete);
+}
+
+INSTANTIATE_TEST_SUITE_P(Resets,
+                         ResetDuringUploadTest,
+                         testing::Values(&RawPeer::Reset,
+                                         &RawPeer::ResetLater));
+
 } // namespace
 } // namespace auburntrestle::backend
--- a/test/auburntrestle/fleet/request_relay_test.cpp
+++ b/test/auburntrestle/fleet/request_relay_test.cpp
@@ -16,6 +16,12 @@
 
 constexpr auto kRequestId = "Request-Id";
 constexpr auto kNotRun = "Not-Run";
+/** Larger than what the system buffers for a connection, and within the limit
+ * of a server. */
+constexpr std::size_t kUploadBytes = std::size_t{ 24 } * 1024 * 1024;
+/** A response that ends with its connection, or a part of it. */
+constexpr auto kWithoutLength =
+  "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nSignature: s\r\n\r\nbo";
 
 std::string ResponseTo(const std::string& aId,
                        const std::string& aStatus,
@@ -42,6 +48,9 @@
   bool m_isRetried = false;
   bool m_closes = false;
   RouteKind m_kind = RouteKind::NonIdempotent;
+  /** Whether the request has a long body, during which the server resets the
+   * connection. */
+  bool m_resetsUpload = false;
 };
 
 class RequestRelayTest : public testing::TestWithParam<RelayCase>
@@ -65,6 +74,8 @@
                       aPeer.Send(GetParam().m_bytes);
                       if (GetParam().m_closes) {
                         aPeer.Close();
+                      } else if (GetParam().m_resetsUpload) {
+                        aPeer.Reset();
                       }
                     } };
   RawServer m_second{ m_loop, [](RawPeer& aPeer) {
@@ -91,7 +102,8 @@
 
 // Guards against a response to another request, above all a refusal, that
 // counts for the request which waits on the connection: it would run twice, or
-// be refused although it runs.
+// be refused although it runs. Guards too against a broken response that the
+// caller gets as a response.
 TEST_P(RequestRelayTest, CountsOnlyItsOwnResponse)
 {
   Route route;
@@ -113,6 +125,9 @@
   request.m_method = "POST";
   request.m_target = "/";
   request.m_headers.Add(kRequestId, "own");
+  if (GetParam().m_resetsUpload) {
+    request.m_body.resize(kUploadBytes, 'x');
+  }
   http::Client caller(m_loop, {});
   std::optional<http::FetchResult> response;
   const auto call = http::Fetch(
@@ -124,6 +139,9 @@
   RunUntil(m_loop, [&] { return response.has_value(); });
   ASSERT_TRUE(*response);
   EXPECT_EQ((*response)->m_status, GetParam().m_status);
+  if (GetParam().m_status == 200) {
+    EXPECT_EQ((*response)->m_body, "body");
+  }
   EXPECT_EQ(m_second.AcceptedCount(), GetParam().m_isRetried ? 1U : 0U);
 }
 
@@ -164,6 +182,15 @@
                .m_bytes = ResponseTo("own", "000 Error"),
                .m_isRetried = true,
                .m_kind = RouteKind::Idempotent },
+    RelayCase{ .m_name = "reset_during_upload",
+               .m_bytes = kWithoutLength,
+               .m_status = 502,
+               .m_resetsUpload = true },
+    RelayCase{ .m_name = "idempotent_reset_during_upload",
+               .m_bytes = kWithoutLength,
+               .m_isRetried = true,
+               .m_kind = RouteKind::Idempotent,
+               .m_resetsUpload = true },
     RelayCase{ .m_name = "idempotent_foreign_refusal_only",
                .m_bytes = RefusalOf("other"),
                .m_isRetried = true,
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -353,6 +353,117 @@
   RunUntil(m_loop, [&] { return server.Peer(0).IsClosed(); });
 }
 
+/** How a server ends its response while the request body is still written. */
+enum class EarlyEnding : std::uint8_t
+{
+  /** It resets the connection. */
+  Reset,
+  /** It resets the connection later, when the start of its response has been
+   * received. */
+  LateReset,
+  /** It ends its response in order and reads the rest of the request. */
+  EndOfStream,
+  /** It ends its response in order and rejects the rest of the request. */
+  Close,
+};
+
+struct EarlyResponseCase
+{
+  std::string m_name;
+  std::string m_bytes;
+  EarlyEnding m_ending{};
+  /** Absent when there is no complete response. */
+  std::optional<std::string> m_body = std::nullopt;
+};
+
+class EarlyResponseTest
+  : public ClientTest
+  , public testing::WithParamInterface<EarlyResponseCase>
+{
+protected:
+  /** Larger than what the system buffers for a connection. */
+  static constexpr std::size_t kUploadBytes = std::size_t{ 32 } * 1024 * 1024;
+
+  static void EndResponse(RawPeer& aPeer)
+  {
+    switch (GetParam().m_ending) {
+      case EarlyEnding::Reset:
+        aPeer.Reset();
+        break;
+      case EarlyEnding::LateReset:
+        aPeer.ResetLater();
+        break;
+      case EarlyEnding::EndOfStream:
+        aPeer.EndStream();
+        break;
+      case EarlyEnding::Close:
+        aPeer.Close();
+        break;
+    }
+  }
+};
+
+// Guards against a part of a response that counts as complete: the write of the
+// request body meets the reset of the connection, so that the read only sees
+// the end of the stream, which ends a response without a length.
+TEST_P(EarlyResponseTest, IsCompleteOnlyWithoutAReset)
+{
+  RawServer server(m_loop, [responded = false](RawPeer& aPeer) mutable {
+    if (!std::exchange(responded, true)) {
+      aPeer.Send(GetParam().m_bytes);
+      EndResponse(aPeer);
+    }
+  });
+  const auto response = Call(server.Address(), std::string(kUploadBytes, 'x'));
+  ASSERT_EQ(response.has_value(), GetParam().m_body.has_value());
+  if (response) {
+    EXPECT_EQ(response->m_body, *GetParam().m_body);
+  } else {
+    EXPECT_EQ(response.error(), CallFailure::IncompleteResponse);
+  }
+  std::ignore = Call(server.Address());
+  EXPECT_EQ(server.AcceptedCount(), 2U);
+}
+
+constexpr auto kWithoutLength = "HTTP/1.1 200 OK\r\n\r\nbo";
+
+INSTANTIATE_TEST_SUITE_P(
+  Responses,
+  EarlyResponseTest,
+  testing::Values(
+    EarlyResponseCase{ "without_length_reset",
+                       kWithoutLength,
+                       EarlyEnding::Reset },
+    EarlyResponseCase{ "without_length_reset_later",
+                       kWithoutLength,
+                       EarlyEnding::LateReset },
+    EarlyResponseCase{ "without_length_ended",
+                       kWithoutLength,
+                       EarlyEnding::EndOfStream,
+                       "bo" },
+    EarlyResponseCase{ "without_length_closed",
+                       kWithoutLength,
+                       EarlyEnding::Close,
+                       "bo" },
+    EarlyResponseCase{ "head_only_reset",
+                       "HTTP/1.1 200 OK\r\n\r\n",
+                       EarlyEnding::Reset },
+    EarlyResponseCase{ "part_of_head_reset",
+                       "HTTP/1.1 200 OK\r\nName",
+                       EarlyEnding::Reset },
+    EarlyResponseCase{ "part_of_length_reset",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo",
+                       EarlyEnding::Reset },
+    EarlyResponseCase{ "part_of_chunk_reset",
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n4\r\nbo",
+                       EarlyEnding::Reset },
+    EarlyResponseCase{ "complete_length_reset",
+                       kCompleteResponse,
+                       EarlyEnding::Reset,
+                       "body" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 TEST_F(ClientTest, AFailedConnectionIsReported)
 {
   std::string address;
--- a/test/auburntrestle/http/raw_peer.hpp
+++ b/test/auburntrestle/http/raw_peer.hpp
@@ -5,9 +5,11 @@
 
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,7 +57,7 @@
         if (self->m_onBytes) {
           self->m_onBytes(*self);
         }
-        if (self->m_socket.is_open()) {
+        if (self->m_socket.is_open() && !self->m_stoppedReading) {
           self->Read();
         }
       });
@@ -95,11 +97,18 @@
 
   void Close()
   {
+    EndStream();
     asio::error_code ignored;
-    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
   }
 
+  /** Ends this direction of the connection; the other one stays open. */
+  void EndStream()
+  {
+    asio::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
   void Reset()
   {
     asio::error_code ignored;
@@ -107,6 +116,16 @@
     m_socket.close(ignored);
   }
 
+  /** Reads no more, so that the other end cannot write on, and resets the
+   * connection when the other end has had time to receive what was sent. */
+  void ResetLater()
+  {
+    m_stoppedReading = true;
+    m_resetTimer.expires_after(kResetDelay);
+    m_resetTimer.async_wait(
+      [self = shared_from_this()](const asio::error_code&) { self->Reset(); });
+  }
+
   [[nodiscard]] const std::string& Received() const { return m_received; }
   [[nodiscard]] bool IsClosed() const { return m_closed; }
   /** @return the bytes that SendForever has sent. */
@@ -114,13 +133,16 @@
 
 private:
   static constexpr std::size_t kReadBytes = 4096;
+  static constexpr std::chrono::milliseconds kResetDelay{ 20 };
 
   tcp::socket m_socket;
+  asio::steady_timer m_resetTimer{ m_socket.get_executor() };
   std::array<char, kReadBytes> m_buffer{};
   std::string m_received;
   std::size_t m_sent = 0;
   std::function<void(RawPeer&)> m_onBytes;
   bool m_closed = false;
+  bool m_stoppedReading = false;
 };
 
 /** Accepts connections and calls a script after each read from one. */
--- a/test/platform/endless_servers_test.cpp
+++ b/test/platform/endless_servers_test.cpp
@@ -100,30 +100,6 @@
     return false;
   }
 
-  void Announce(const std::string& aId,
-                const std::string& aService,
-                const RawServer& aServer)
-  {
-    const Json heartbeat{ { "service", aService },
-                          { "address", aServer.Address() },
-                          { "zone", "zone-a" },
-                          { "version", "v1" },
-                          { "slots", 4 },
-                          { "state", "ready" },
-                          { "cold_left_ms", 0 },
-                          { "stage", "both" },
-                          { "models",
-                            { { { "name", "m" },
-                                { "version", 1 },
-                                { "adapters", Json::array() } } } },
-                          { "sequence", 1 },
-                          { "born", 1000 } };
-    SendUntilServed(Target::Control,
-                    "PUT",
-                    "/auburntrestle/instances/" + aId,
-                    heartbeat.dump());
-  }
-
   /** Sends many short requests at once, of which the troubled server gets a
    * part, and waits for their responses. */
   void SendManyRequests()
--- a/test/platform/small_deployment.hpp
+++ b/test/platform/small_deployment.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_TEST_PLATFORM_SMALL_DEPLOYMENT_HPP
 
 #include "auburntrestle/http/client.hpp"
+#include "auburntrestle/http/raw_peer.hpp"
 #include "platform/instance_files.hpp"
 #include "platform/json_fields.hpp"
 #include "platform/names.hpp"
@@ -293,6 +294,32 @@
     SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
   }
 
+  /** Announces a server whose weights have version 1 and that sends raw bytes.
+   */
+  void Announce(const std::string& aId,
+                const std::string& aService,
+                const http::test::RawServer& aServer)
+  {
+    const Json heartbeat{ { "service", aService },
+                          { "address", aServer.Address() },
+                          { "zone", "zone-a" },
+                          { "version", "v1" },
+                          { "slots", 4 },
+                          { "state", "ready" },
+                          { "cold_left_ms", 0 },
+                          { "stage", "both" },
+                          { "models",
+                            { { { "name", "m" },
+                                { "version", 1 },
+                                { "adapters", Json::array() } } } },
+                          { "sequence", 1 },
+                          { "born", 1000 } };
+    SendUntilServed(Target::Control,
+                    "PUT",
+                    "/auburntrestle/instances/" + aId,
+                    heartbeat.dump());
+  }
+
   MachineSize m_size;
   event_loop::EventLoop m_loop;
   Sampler m_sampler{ m_loop, "i-1", "m" };
