--- a/test/platform/broken_responses_test.cpp
+++ b/test/platform/broken_responses_test.cpp
@@ -106,7 +106,8 @@
   BrokenResponsesTest,
   testing::Values(
     BrokenCase{ "proper", ResponseWith(""), 200 },
-    BrokenCase{ "reset_during_upload", StartHead() + "\r\nbo", 502, true }),
+    BrokenCase{ "reset_during_upload", StartHead() + "\r\nbo", 502, true },
+    BrokenCase{ "status_zero", ResponseWith("", "000 Error") }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
 } // namespace
