Check the status of a head whose lines end without a carriage return

Callers of trestled got a response with a status outside 200 to 599, such as 600, if the lines of its head ended in a line feed only. libcurl accepts such lines and passes them on as they are, but the end of a head, at which the status is checked, was only recognised with a carriage return. Found while looking for the cause of a passed-on status 000 wherever responses are read; 000 itself is refused by libcurl.

Both forms now end a head. BrokenResponseTest status_beyond_the_classes_line_feeds_only failed in 10 of 10 runs before and passes; line_feeds_only passes on both.

--- a/src/auburntrestle/backend/http_client.cpp
+++ b/src/auburntrestle/backend/http_client.cpp
@@ -121,7 +121,7 @@
   if (!transfer->CountReceived(aSize)) {
     return kAbortTransfer;
   }
-  if (line == "\r\n") {
+  if (line == "\r\n" || line == "\n") {
     switch (http::KindOf(transfer->Status())) {
       case http::StatusKind::Invalid:
         return kAbortTransfer;
