Refuse a response with a line in its head that is no field

Callers got responses of a server in trouble in whose heads the name of a field held a blank: with that line passed on, or with a body that was read with another framing than its server meant. trestled passed on names with control bytes as well.

Cause: http-parser, as Debian builds it, accepts blanks in names, takes "Content-Length :" for a length, and joins a line that begins with a blank to the value before it. libcurl hands out each line as it is, and the client took any line with a colon for a field.

Each line of a response's head now has to begin with a token and a colon (RFC 9110). HeadScanner checks this along with the parser, byte by byte, since a head arrives in pieces; HandleLine checks the lines of libcurl. Otherwise the response is malformed or lost: a request that may run again is tried elsewhere, another one gets 502. Lines that continue a field are refused too; senders must not generate them (RFC 9112), and the value before would change.

--- a/src/auburntrestle/backend/http_client.cpp
+++ b/src/auburntrestle/backend/http_client.cpp
@@ -1,5 +1,6 @@
 #include "auburntrestle/backend/http_client.hpp"
 
+#include "auburntrestle/http/field_name.hpp"
 #include "auburntrestle/http/message.hpp"
 
 #include <curl/curl.h>
@@ -41,6 +42,8 @@
   CallResult m_result;
   bool m_headersReported = false;
   bool m_responseStarted = false;
+  /** The next line is the status line of an interim or the final response. */
+  bool m_expectsStatusLine = true;
   std::size_t m_receivedBytes = 0;
   std::unique_ptr<curl_slist, HeaderListDeleter> m_headerList;
   std::unique_ptr<CURL, EasyDeleter> m_easy;
@@ -90,11 +93,13 @@
   return aSize;
 }
 
-void StoreHeader(Transfer& aTransfer, std::string_view aLine)
+/** Stores a header field. @return whether the line is one. */
+bool StoreHeader(Transfer& aTransfer, std::string_view aLine)
 {
   const auto colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return;
+  if (colon == std::string_view::npos ||
+      !http::IsFieldName(aLine.substr(0, colon))) {
+    return false;
   }
   std::string name(aLine.substr(0, colon));
   std::transform(
@@ -108,6 +113,35 @@
     aTransfer.m_result.m_headers[std::move(name)] =
       std::string(value.substr(first, last - first + 1));
   }
+  return true;
+}
+
+/** Handles the end of a head. @return whether it is one of a response. */
+bool HandleHeadEnd(Transfer& aTransfer)
+{
+  switch (http::KindOf(aTransfer.Status())) {
+    case http::StatusKind::Invalid:
+      return false;
+    case http::StatusKind::Final:
+      aTransfer.ReportHeaders();
+      break;
+    case http::StatusKind::Interim:
+      aTransfer.m_expectsStatusLine = true;
+      break;
+  }
+  return true;
+}
+
+/** Handles a line of a head. @return whether it belongs to a response. */
+bool HandleLine(Transfer& aTransfer, std::string_view aLine)
+{
+  if (aLine == "\r\n" || aLine == "\n") {
+    return HandleHeadEnd(aTransfer);
+  }
+  if (std::exchange(aTransfer.m_expectsStatusLine, false)) {
+    return true;
+  }
+  return StoreHeader(aTransfer, aLine);
 }
 
 std::size_t OnHeader(char* aData,
@@ -116,25 +150,10 @@
                      void* aTransfer)
 {
   auto* transfer = static_cast<Transfer*>(aTransfer);
-  const std::string_view line(aData, aSize);
   transfer->m_responseStarted = true;
-  if (!transfer->CountReceived(aSize)) {
-    return kAbortTransfer;
-  }
-  if (line == "\r\n" || line == "\n") {
-    switch (http::KindOf(transfer->Status())) {
-      case http::StatusKind::Invalid:
-        return kAbortTransfer;
-      case http::StatusKind::Final:
-        transfer->ReportHeaders();
-        break;
-      case http::StatusKind::Interim:
-        break;
-    }
-  } else {
-    StoreHeader(*transfer, line);
-  }
-  return aSize;
+  const bool accepted = transfer->CountReceived(aSize) &&
+                        HandleLine(*transfer, std::string_view(aData, aSize));
+  return accepted ? aSize : kAbortTransfer;
 }
 
 CallStatus StatusOf(CURLcode aCode, const Transfer& aTransfer)
--- a/src/auburntrestle/http/internal/parser.cpp
+++ b/src/auburntrestle/http/internal/parser.cpp
@@ -122,6 +122,7 @@
   http_parser_init(
     &m_parser, m_kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
+  m_headScanner = HeadScanner();
   m_progress = Progress::Headers;
   m_headers = Headers();
   m_field.clear();
@@ -148,16 +149,43 @@
 
 std::size_t Parser::Feed(std::string_view aBytes)
 {
-  const bool inHeaders = m_progress == Progress::Headers;
+  std::size_t used = 0;
+  // An interim response is followed by another head.
+  while (m_progress == Progress::Headers && used < aBytes.size()) {
+    used += FeedHead(aBytes.substr(used));
+  }
+  if (m_progress == Progress::Body && used < aBytes.size()) {
+    used += Execute(aBytes.substr(used));
+  }
+  return used;
+}
+
+std::size_t Parser::FeedHead(std::string_view aBytes)
+{
+  std::size_t bytes = aBytes.size();
+  if (m_kind == MessageKind::Response) {
+    // The library accepts names with blanks, and takes some of them for the
+    // length or the framing of the body.
+    const auto scanned = m_headScanner.Scan(aBytes);
+    if (!scanned) {
+      m_progress = Progress::Malformed;
+      return 0;
+    }
+    bytes = *scanned;
+  }
+  const std::size_t used = Execute(aBytes.substr(0, bytes));
+  m_headerBytes += used > m_body.size() ? used - m_body.size() : 0;
+  return used;
+}
+
+std::size_t Parser::Execute(std::string_view aBytes)
+{
   const std::size_t used =
     http_parser_execute(&m_parser, &Settings(), aBytes.data(), aBytes.size());
   if (m_progress != Progress::Complete &&
       (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0)) {
     m_progress = Progress::Malformed;
   }
-  if (inHeaders) {
-    m_headerBytes += used > m_body.size() ? used - m_body.size() : 0;
-  }
   return used;
 }
 
--- a/src/auburntrestle/http/internal/parser.hpp
+++ b/src/auburntrestle/http/internal/parser.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNTRESTLE_HTTP_INTERNAL_PARSER_HPP
 #define AUBURNTRESTLE_HTTP_INTERNAL_PARSER_HPP
 
+#include "auburntrestle/http/internal/head_scanner.hpp"
 #include "auburntrestle/http/message.hpp"
 
 #include <http_parser.h>
@@ -87,9 +88,15 @@
   static Parser& FromHandle(http_parser* aParser);
   static const http_parser_settings& Settings();
   void FinishField();
+  /** Feeds bytes of the head. @return the number of bytes that were used, up to
+   * the end of a head. */
+  std::size_t FeedHead(std::string_view aBytes);
+  /** Feeds bytes to the library. @return the number that it used. */
+  std::size_t Execute(std::string_view aBytes);
 
   MessageKind m_kind;
   http_parser m_parser{};
+  HeadScanner m_headScanner;
   Progress m_progress = Progress::Headers;
   Headers m_headers;
   std::string m_field;
--- a/test/auburntrestle/backend/http_client_test.cpp
+++ b/test/auburntrestle/backend/http_client_test.cpp
@@ -113,8 +113,9 @@
 class BrokenResponseTest : public testing::TestWithParam<BrokenCase>
 {};
 
-// Guards against a response that breaks off in its head and counts as complete:
-// the caller would get a success with an empty body.
+// Guards against a response that breaks off, or whose head is none, and counts
+// as complete: the caller would get a success with an empty body or a part of
+// it.
 TEST_P(BrokenResponseTest, IsNotComplete)
 {
   const ScriptedServer server([](RawPeer& aPeer) {
@@ -134,6 +135,12 @@
   EXPECT_EQ(result.get_future().get().m_status, GetParam().m_status);
 }
 
+/** @return a response with a line in its head. */
+std::string WithLine(const std::string& aLine)
+{
+  return "HTTP/1.1 200 OK\r\n" + aLine + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
 INSTANTIATE_TEST_SUITE_P(
   Responses,
   BrokenResponseTest,
@@ -168,6 +175,27 @@
                 CallStatus::LostBeforeResponse },
     BrokenCase{ "status_beyond_the_classes_line_feeds_only",
                 "HTTP/1.1 600 Error\nContent-Length: 4\n\nbody" },
+    BrokenCase{ "blank_in_name", WithLine("Bad Name: value") },
+    BrokenCase{ "blank_before_colon", WithLine("Name : value") },
+    BrokenCase{ "blank_before_first_name", WithLine(" Name: value") },
+    BrokenCase{ "blank_before_later_name",
+                WithLine("Name: value\r\n Other: value") },
+    BrokenCase{ "chunks_with_blank",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
+                "4\r\nbody\r\n0\r\n\r\n" },
+    BrokenCase{ "control_byte_in_name", WithLine("Bad\x01Name: value") },
+    BrokenCase{ "null_byte_in_name",
+                WithLine(std::string("Bad\0Name: value", 15)) },
+    BrokenCase{ "no_name", WithLine(": value") },
+    BrokenCase{ "no_colon", WithLine("Name") },
+    BrokenCase{ "status_line_as_field", WithLine("HTTP/1.1 200: value") },
+    BrokenCase{ "odd_name_after_interim",
+                "HTTP/1.1 103 Early Hints\r\n\r\n" +
+                  WithLine("Bad Name: value") },
+    BrokenCase{ "interim_before_response",
+                "HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n" +
+                  WithLine("Name: value"),
+                CallStatus::Complete },
     BrokenCase{ "line_feeds_only",
                 "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody",
                 CallStatus::Complete },
--- a/test/auburntrestle/fleet/request_relay_test.cpp
+++ b/test/auburntrestle/fleet/request_relay_test.cpp
@@ -32,6 +32,9 @@
          "Content-Length: 4\r\n\r\nbody";
 }
 
+constexpr auto kBlankInName = "Signature: s\r\nBad Name: x\r\n";
+constexpr auto kControlByteInName = "Signature: s\r\nBad\x01Name: x\r\n";
+
 std::string RefusalOf(const std::string& aId)
 {
   return ResponseTo(aId, "503 Unavailable", std::string(kNotRun) + ": 1\r\n");
@@ -191,6 +194,16 @@
                .m_isRetried = true,
                .m_kind = RouteKind::Idempotent,
                .m_resetsUpload = true },
+    RelayCase{ .m_name = "blank_in_field_name",
+               .m_bytes = ResponseTo("own", "200 OK", kBlankInName),
+               .m_status = 502 },
+    RelayCase{ .m_name = "idempotent_blank_in_field_name",
+               .m_bytes = ResponseTo("own", "200 OK", kBlankInName),
+               .m_isRetried = true,
+               .m_kind = RouteKind::Idempotent },
+    RelayCase{ .m_name = "control_byte_in_field_name",
+               .m_bytes = ResponseTo("own", "200 OK", kControlByteInName),
+               .m_status = 502 },
     RelayCase{ .m_name = "idempotent_foreign_refusal_only",
                .m_bytes = RefusalOf("other"),
                .m_isRetried = true,
--- a/test/platform/broken_responses_test.cpp
+++ b/test/platform/broken_responses_test.cpp
@@ -107,7 +107,12 @@
   testing::Values(
     BrokenCase{ "proper", ResponseWith(""), 200 },
     BrokenCase{ "reset_during_upload", StartHead() + "\r\nbo", 502, true },
-    BrokenCase{ "status_zero", ResponseWith("", "000 Error") }),
+    BrokenCase{ "status_zero", ResponseWith("", "000 Error") },
+    BrokenCase{ "blank_in_field_name", ResponseWith("Bad Name: x\r\n") },
+    BrokenCase{ "length_with_blank",
+                StartHead() + "Content-Length : 2\r\n\r\nbody" },
+    BrokenCase{ "control_byte_in_field_name",
+                ResponseWith("Bad\x01Name: x\r\n") }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
 } // namespace
