--- a/test/auburntrestle/http/parser_test.cpp
+++ b/test/auburntrestle/http/parser_test.cpp
@@ -6,11 +6,13 @@
 #include <string>
 #include <string_view>
 #include <tuple>
-#include <utility>
 
 namespace auburntrestle::http::internal {
 namespace {
 
+/** Pieces of this size hold a whole response of these tests. */
+constexpr std::size_t kWhole = 1000;
+
 /** Feeds bytes in pieces of a size until a response ends or is malformed. */
 void FeedInPieces(Parser& aParser, std::string_view aBytes, std::size_t aSize)
 {
@@ -38,7 +40,6 @@
 // its server meant: the library accepts blanks in the names of fields.
 TEST_P(HeadTest, ConsistsOfNamedFields)
 {
-  constexpr std::size_t kWhole = 1000;
   for (const std::size_t pieceBytes : { kWhole, std::size_t{ 1 } }) {
     Parser parser(MessageKind::Response);
     FeedInPieces(parser,
@@ -83,28 +84,44 @@
     HeadCase{ "high_byte", "N\xE9me: value\r\n" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
-// Guards against an interim response whose head is not checked because the
-// final response follows in the same bytes, and the reverse.
-TEST(InterimHeadTest, IsCheckedLikeAFinalOne)
+struct InterimCase
 {
-  const std::string interim = "HTTP/1.1 103 Early Hints\r\nName: value\r\n";
-  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
-  const std::string odd = "Bad Name: value\r\n";
-  const std::string end = "\r\n";
-  for (const std::size_t pieceBytes :
-       { std::size_t{ 1000 }, std::size_t{ 1 } }) {
-    for (const auto& [head, progress] :
-         { std::pair(interim + end + final + end, Progress::Complete),
-           std::pair(interim + odd + end + final + end, Progress::Malformed),
-           std::pair(interim + end + final + odd + end,
-                     Progress::Malformed) }) {
-      Parser parser(MessageKind::Response);
-      // The body looks like a line with an odd name.
-      FeedInPieces(parser, head + "a\n :", pieceBytes);
-      EXPECT_EQ(parser.GetProgress(), progress);
-    }
+  std::string m_name;
+  /** A line of the head of the interim response. */
+  std::string m_interimLine;
+  /** A line of the head of the final response. */
+  std::string m_finalLine;
+  Progress m_progress = Progress::Malformed;
+};
+
+class InterimHeadTest : public testing::TestWithParam<InterimCase>
+{};
+
+// Guards against a head that is not checked because another one precedes or
+// follows it in the same bytes.
+TEST_P(InterimHeadTest, IsCheckedLikeAFinalOne)
+{
+  std::string bytes = "HTTP/1.1 103 Early Hints\r\n";
+  bytes += GetParam().m_interimLine;
+  bytes += "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+  bytes += GetParam().m_finalLine;
+  // The body looks like a line with an odd name.
+  bytes += "\r\n\r\na\n :";
+  for (const std::size_t pieceBytes : { kWhole, std::size_t{ 1 } }) {
+    Parser parser(MessageKind::Response);
+    FeedInPieces(parser, bytes, pieceBytes);
+    EXPECT_EQ(parser.GetProgress(), GetParam().m_progress);
   }
 }
 
+INSTANTIATE_TEST_SUITE_P(
+  Heads,
+  InterimHeadTest,
+  testing::Values(
+    InterimCase{ "proper", "Name: value", "Name: value", Progress::Complete },
+    InterimCase{ "interim_odd", "Bad Name: value", "Name: value" },
+    InterimCase{ "final_odd", "Name: value", "Bad Name: value" }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 } // namespace
 } // namespace auburntrestle::http::internal
