--- a/src/auburntrestle/http/internal/parser.hpp
+++ b/src/auburntrestle/http/internal/parser.hpp
@@ -88,8 +88,8 @@
   static Parser& FromHandle(http_parser* aParser);
   static const http_parser_settings& Settings();
   void FinishField();
-  /** Feeds bytes of the head. @return the number of bytes that were used, up to
-   * the end of a head. */
+  /** Feeds bytes that begin within a head. @return the number that was used: of
+   * a response, none beyond the end of the head. */
   std::size_t FeedHead(std::string_view aBytes);
   /** Feeds bytes to the library. @return the number that it used. */
   std::size_t Execute(std::string_view aBytes);
