Keep one copy of the jobs and reports of the platform tests

EndlessServersTest and WholePathTest each made the same batch job; the fake engine of further tests needs it too, together with the report of an engine.

--- a/test/platform/endless_servers_test.cpp
+++ b/test/platform/endless_servers_test.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/http/raw_peer.hpp"
+#include "platform/engine_documents.hpp"
 #include "platform/small_deployment.hpp"
 
 #include <gtest/gtest.h>
@@ -37,7 +38,7 @@
     }
     return [piece](RawPeer& aPeer) {
       if (AsksForReport(aPeer.Received())) {
-        aPeer.Send(Report());
+        aPeer.Send(ReportResponse());
         return;
       }
       aPeer.Send(GetParam().m_start);
@@ -45,55 +46,13 @@
     };
   }
 
-  /** @return whether the last request of a connection asks for the report of an
-   * engine. Without a proper one, an engine gets no items. */
-  [[nodiscard]] static bool AsksForReport(const std::string& aReceived)
-  {
-    const auto line = aReceived.rfind(" HTTP/1.1\r\n");
-    const std::string report = "GET " + std::string(names::kReportPath);
-    return line != std::string::npos &&
-           aReceived.substr(0, line).ends_with(report);
-  }
-
-  [[nodiscard]] static std::string Report()
-  {
-    const std::string body = Json{
-      { "models", { { { "name", "m" }, { "version", 1 } } } },
-      { "busy", false },
-      { "sequence", 0 }
-    }.dump();
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-  }
-
-  [[nodiscard]] static std::string MakeJob()
-  {
-    constexpr int kItems = 16;
-    Json items = Json::array();
-    for (int item = 0; item < kItems; ++item) {
-      items.push_back({ { "id", "item" + std::to_string(item) },
-                        { "path", "/jobs/1/x" },
-                        { "headers", { { "X-Model", "m" } } },
-                        { "body", "cHJvbXB0" },
-                        { "tokens", 100 },
-                        { "group", "g" } });
-    }
-    return Json{
-      { "step", 0 },
-      { "model", "m" },
-      { "min_version", 1 },
-      { "target_groups", 1 },
-      { "requests", items }
-    }.dump();
-  }
-
   /** @return whether the engine got an item. */
   [[nodiscard]] bool HasRunItem()
   {
     for (std::size_t peer = 0; peer < m_troubledEngine.AcceptedCount();
          ++peer) {
       const auto& received = m_troubledEngine.Peer(peer).Received();
-      if (received.find("POST /jobs/1/x") != std::string::npos) {
+      if (received.find(std::string("POST ") + kItemPath) != std::string::npos) {
         return true;
       }
     }
@@ -124,10 +83,11 @@
 // requests of others ended with it.
 TEST_P(EndlessServersTest, LeaveRoomForOthers)
 {
+  constexpr int kItems = 16;
   SetUpService(ConfigurationWithEngines());
   Announce("i-2", "samplers", m_troubled);
   Announce("e-1", "engines", m_troubledEngine);
-  while (Send(Target::Callers, "POST", "/jobs/a", MakeJob()) != 202) {
+  while (Send(Target::Callers, "POST", "/jobs/a", MakeJob(kItems)) != 202) {
     WaitFor(std::chrono::milliseconds(20));
   }
   RunUntil([&] { return HasRunItem(); });
--- a/test/platform/whole_path_test.cpp
+++ b/test/platform/whole_path_test.cpp
@@ -1,6 +1,7 @@
 #include "auburntrestle/fleet/job_runner.hpp"
 #include "auburntrestle/http/client.hpp"
 #include "auburntrestle/http/raw_peer.hpp"
+#include "platform/engine_documents.hpp"
 #include "platform/instance_files.hpp"
 #include "platform/json_fields.hpp"
 #include "platform/names.hpp"
@@ -178,26 +179,6 @@
       "idle_timeout_ms":15000}})";
   }
 
-  [[nodiscard]] static std::string MakeJob(int aItems)
-  {
-    Json items = Json::array();
-    for (int item = 0; item < aItems; ++item) {
-      items.push_back({ { "id", "item" + std::to_string(item) },
-                        { "path", "/jobs/1/x" },
-                        { "headers", { { "X-Model", "m" } } },
-                        { "body", "cHJvbXB0" },
-                        { "tokens", 100 },
-                        { "group", "g" } });
-    }
-    return Json{
-      { "step", 0 },
-      { "model", "m" },
-      { "min_version", 1 },
-      { "target_groups", 1 },
-      { "requests", items }
-    }.dump();
-  }
-
   /** @return a job whose items have reward calls "reward-ID". */
   [[nodiscard]] static std::string MakeScoredJob(
     int aItems,
