Give a call no connection that has carried its id before

Cause: the backend server sent the first 500 a second time, 40 ms late. The second run of the item had gone out on the same connection, where the copy was taken for its response, and the response to it for that of the third run. A response is told by the id that it echoes, but all runs of an item have the same id.

A connection now records the ids that it has carried, and a call whose id is among them gets another one. A copy then arrives where nobody waits for this id: it is discarded as foreign, or closes an idle connection.

--- a/src/auburntrestle/http/client.cpp
+++ b/src/auburntrestle/http/client.cpp
@@ -52,7 +52,7 @@
                                     const CallOptions& aOptions,
                                     CallHandlers aHandlers)
 {
-  auto connection = m_pool->PopIdle(aAddress);
+  auto connection = m_pool->PopIdle(aAddress, aOptions.m_correlation);
   if (!connection) {
     connection = std::make_shared<internal::ClientConnection>(m_pool, aAddress);
   }
--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -122,7 +122,8 @@
  * An HTTP/1.1 client on an event loop that reuses connections. A connection is
  * closed when it receives bytes that belong to no request, and when a response
  * ended before its request was sent completely. A server in trouble may repeat
- * the response to an earlier request, which CallOptions::m_correlation detects.
+ * the response to an earlier request, which CallOptions::m_correlation detects;
+ * therefore a connection carries no two calls with the same correlation value.
  */
 class Client
 {
--- a/src/auburntrestle/http/internal/client_connection.cpp
+++ b/src/auburntrestle/http/internal/client_connection.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <limits>
 #include <tuple>
 #include <utility>
@@ -21,16 +22,25 @@
 }
 
 std::shared_ptr<ClientConnection> ClientPool::PopIdle(
-  const std::string& aAddress)
+  const std::string& aAddress,
+  const std::optional<Correlation>& aCorrelation)
 {
   const auto found = m_idle.find(aAddress);
-  if (found == m_idle.end() || found->second.empty()) {
+  if (found == m_idle.end()) {
     return nullptr;
   }
   // The most recently used connection is the least likely to be closed by the
   // server.
-  auto connection = std::move(found->second.back());
-  found->second.pop_back();
+  auto& idle = found->second;
+  const auto usable =
+    std::find_if(idle.rbegin(), idle.rend(), [&](const auto& aConnection) {
+      return !aConnection->History().IsAmbiguous(aCorrelation);
+    });
+  if (usable == idle.rend()) {
+    return nullptr;
+  }
+  auto connection = std::move(*usable);
+  idle.erase(std::prev(usable.base()));
   return connection;
 }
 
@@ -124,6 +134,7 @@
                    ? aRequest.m_sharedBody
                    : SharedBytes(aRequest.m_body);
   m_correlation = aOptions.m_correlation;
+  m_history.Record(m_correlation);
   m_expectsNoBody = aRequest.m_method == "HEAD";
   ResetParser();
   m_headReported = false;
@@ -357,7 +368,8 @@
 void ClientConnection::OnComplete(bool aSurplus)
 {
   const auto self = shared_from_this();
-  const bool reusable = !aSurplus && m_isSent && m_parser.KeepAlive();
+  const bool reusable =
+    !aSurplus && m_isSent && m_parser.KeepAlive() && !m_history.IsFull();
   const auto handlers = ExtractHandlers();
   CancelTimer(m_callTimer);
   if (reusable) {
--- a/src/auburntrestle/http/internal/client_connection.hpp
+++ b/src/auburntrestle/http/internal/client_connection.hpp
@@ -2,6 +2,7 @@
 #define AUBURNTRESTLE_HTTP_INTERNAL_CLIENT_CONNECTION_HPP
 
 #include "auburntrestle/http/client.hpp"
+#include "auburntrestle/http/internal/call_history.hpp"
 #include "auburntrestle/http/internal/parser.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -24,9 +25,12 @@
 public:
   ClientPool(event_loop::EventLoop& aLoop, ClientOptions aOptions);
 
-  /** Removes and returns an idle connection; null if there is none. */
+  /** Removes and returns an idle connection that can carry a call; null if
+   * there is none.
+   * @param aCorrelation how the response to the call is recognised. */
   [[nodiscard]] std::shared_ptr<ClientConnection> PopIdle(
-    const std::string& aAddress);
+    const std::string& aAddress,
+    const std::optional<Correlation>& aCorrelation);
   /** @return false when the address has its maximum of idle connections. */
   [[nodiscard]] bool AddIdle(
     const std::shared_ptr<ClientConnection>& aConnection);
@@ -77,6 +81,11 @@
   {
     return m_address;
   }
+  /** @return the calls that the connection has carried. */
+  [[nodiscard]] const CallHistory& History() const noexcept
+  {
+    return m_history;
+  }
   /** @return the bytes received for the response in progress. */
   [[nodiscard]] std::size_t ReceivedBytes() const noexcept
   {
@@ -127,6 +136,7 @@
   Parser m_parser{ MessageKind::Response };
   std::optional<CallHandlers> m_handlers;
   std::optional<Correlation> m_correlation;
+  CallHistory m_history;
   std::string m_output;
   /** The body of the request, sent after m_output. */
   SharedBytes m_outputBody;
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/http/client.hpp"
+#include "auburntrestle/http/internal/call_history.hpp"
 #include "auburntrestle/http/raw_peer.hpp"
 
 #include <gtest/gtest.h>
@@ -337,6 +338,107 @@
                      .m_id = "" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+/** Calls that follow each other, and a server that repeats its first response
+ * while the last call waits. */
+struct RepeatedResponseCase
+{
+  std::string m_name;
+  /** The ids of the calls. */
+  std::vector<std::string> m_ids;
+  std::size_t m_connections = 1;
+};
+
+class RepeatedResponseTest
+  : public ClientTest
+  , public testing::WithParamInterface<RepeatedResponseCase>
+{
+protected:
+  /** @return the body of the response to a call with an id. */
+  std::string CallWithId(const RawServer& aServer, const std::string& aId)
+  {
+    Request request;
+    request.m_method = "POST";
+    request.m_target = "/";
+    request.m_headers.Add("Id", aId);
+    CallOptions options;
+    options.m_correlation = Correlation{ "Id", aId };
+    std::optional<FetchResult> response;
+    const auto call =
+      Fetch(m_client, aServer.Address(), request, options, [&](auto aResponse) {
+        response = std::move(aResponse);
+      });
+    RunUntil(m_loop, [&] { return response.has_value(); });
+    return *response ? (*response)->m_body : "none";
+  }
+
+  /** Responds to a call. The last one is responded to when a copy of the first
+   * response has been sent on the connection of the first call. */
+  void Respond(RawServer& aServer, RawPeer& aPeer)
+  {
+    const auto& ids = GetParam().m_ids;
+    const std::size_t call = m_calls++;
+    if (call + 1 == ids.size()) {
+      aServer.Peer(0).Send(ResponseTo(ids, 0));
+    }
+    aPeer.Send(ResponseTo(ids, call));
+  }
+
+  [[nodiscard]] static std::string ResponseTo(
+    const std::vector<std::string>& aIds,
+    std::size_t aCall)
+  {
+    return ResponseWithId("Id: " + aIds[aCall] + "\r\n",
+                          "response " + std::to_string(aCall));
+  }
+
+  std::size_t m_calls = 0;
+};
+
+// Guards against a late copy of a response that is taken for the response to a
+// further call with the same id: an item of a batch job that failed twice was
+// given up as if it had failed three times.
+TEST_P(RepeatedResponseTest, IsNotTheResponseToALaterCall)
+{
+  RawServer server(m_loop, [&](RawPeer& aPeer) { Respond(server, aPeer); });
+  const auto& ids = GetParam().m_ids;
+  for (std::size_t call = 0; call < ids.size(); ++call) {
+    EXPECT_EQ(CallWithId(server, ids[call]),
+              "response " + std::to_string(call));
+  }
+  EXPECT_EQ(server.AcceptedCount(), GetParam().m_connections);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Calls,
+  RepeatedResponseTest,
+  testing::Values(
+    RepeatedResponseCase{ "other_ids", { "a", "b", "c" } },
+    RepeatedResponseCase{ "same_id", { "a", "a" }, 2 },
+    RepeatedResponseCase{ "same_id_later", { "a", "b", "a" }, 2 },
+    RepeatedResponseCase{ "same_id_again_and_again", { "a", "a", "a" }, 3 },
+    RepeatedResponseCase{ "other_id_after_the_same", { "a", "a", "b" }, 2 }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
+// Guards against a connection whose record of ids grows without end.
+TEST_F(ClientTest, AConnectionCarriesALimitedNumberOfIds)
+{
+  RawServer server(m_loop,
+                   [](RawPeer& aPeer) { aPeer.Send(kCompleteResponse); });
+  constexpr std::size_t kCalls = internal::CallHistory::kMaxIds + 1;
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    CallOptions options;
+    options.m_correlation = Correlation{ "Id", std::to_string(call) };
+    bool done = false;
+    const auto running = Fetch(
+      m_client, server.Address(), {}, options, [&](const FetchResult& aResult) {
+        EXPECT_TRUE(aResult);
+        done = true;
+      });
+    RunUntil(m_loop, [&] { return done; });
+  }
+  EXPECT_EQ(server.AcceptedCount(), 2U);
+}
+
 // Guards against reusing a connection on which the server still expects the
 // rest of a request body.
 TEST_F(ClientTest, AnEarlyResponseEndsTheConnection)
--- a/test/platform/small_deployment.hpp
+++ b/test/platform/small_deployment.hpp
@@ -137,10 +137,10 @@
   }
 
   /** Sends a request.
-   * @param aCallback receives its status, or nothing. */
-  void StartRequest(Target aTarget,
-                    const http::Request& aRequest,
-                    std::function<void(std::optional<int>)> aCallback)
+   * @param aCallback receives its response, or why there is none. */
+  void StartFetch(Target aTarget,
+                  const http::Request& aRequest,
+                  std::function<void(http::FetchResult)> aCallback)
   {
     const auto client =
       std::make_shared<http::Client>(m_loop, http::ClientOptions{});
@@ -150,10 +150,24 @@
       aRequest,
       {},
       [client, callback = std::move(aCallback)](http::FetchResult aResponse) {
-        callback(aResponse ? std::optional(aResponse->m_status) : std::nullopt);
+        callback(std::move(aResponse));
       });
   }
 
+  /** Sends a request.
+   * @param aCallback receives its status, or nothing. */
+  void StartRequest(Target aTarget,
+                    const http::Request& aRequest,
+                    std::function<void(std::optional<int>)> aCallback)
+  {
+    StartFetch(aTarget,
+               aRequest,
+               [callback = std::move(aCallback)](http::FetchResult aResponse) {
+                 callback(aResponse ? std::optional(aResponse->m_status)
+                                    : std::nullopt);
+               });
+  }
+
   /** Sends an ordinary request.
    * @param aCallback receives its status, or nothing. */
   void StartRequest(Target aTarget,
@@ -167,6 +181,17 @@
                  std::move(aCallback));
   }
 
+  /** @return the response to a request, or why there is none. */
+  http::FetchResult FetchFrom(Target aTarget, const http::Request& aRequest)
+  {
+    std::optional<http::FetchResult> response;
+    StartFetch(aTarget, aRequest, [&](http::FetchResult aResponse) {
+      response = std::move(aResponse);
+    });
+    RunUntil([&] { return response.has_value(); });
+    return *response;
+  }
+
   /** @return the status of a request, or nothing. */
   std::optional<int> Send(Target aTarget, const http::Request& aRequest)
   {
