Let calls without an id share no connection with others

A late copy of a response without an id, such as that of a report of an engine or of an order, was taken for the response to whatever call waited on the connection: the check for foreign responses accepts one without an id. A copied report ends a run of an item, a copied error counts as its failure.

Calls without an id now have connections of their own, one more for each engine at the leader. The other order is separated too: a report on a connection of items would otherwise make it useless for them.

Tests: RepeatedResponseTest no_id_before_an_id got the copy before this change; no_id_after_an_id failed by its number of connections only.

--- a/src/auburntrestle/http/client.hpp
+++ b/src/auburntrestle/http/client.hpp
@@ -123,7 +123,8 @@
  * closed when it receives bytes that belong to no request, and when a response
  * ended before its request was sent completely. A server in trouble may repeat
  * the response to an earlier request, which CallOptions::m_correlation detects;
- * therefore a connection carries no two calls with the same correlation value.
+ * therefore a connection carries no two calls with the same correlation value,
+ * and none without a value beside others.
  */
 class Client
 {
--- a/src/auburntrestle/http/internal/call_history.cpp
+++ b/src/auburntrestle/http/internal/call_history.cpp
@@ -23,7 +23,10 @@
   const std::optional<Correlation>& aCorrelation) const
 {
   if (!HasId(aCorrelation)) {
-    return false;
+    return !m_ids.empty();
+  }
+  if (m_hasCallsWithoutId) {
+    return true;
   }
   const std::size_t id = HashOf(*aCorrelation);
   return std::find(m_ids.begin(), m_ids.end(), id) != m_ids.end();
@@ -33,6 +36,8 @@
 {
   if (HasId(aCorrelation)) {
     m_ids.push_back(HashOf(*aCorrelation));
+  } else {
+    m_hasCallsWithoutId = true;
   }
 }
 
--- a/src/auburntrestle/http/internal/call_history.hpp
+++ b/src/auburntrestle/http/internal/call_history.hpp
@@ -11,11 +11,13 @@
 namespace auburntrestle::http::internal {
 
 /**
- * The ids of the calls that a connection has carried.
+ * The calls that a connection has carried, by their ids.
  *
  * A server in trouble may send a response a second time, at any later time. The
  * copy is recognised by its id, so a second call with the same id needs another
- * connection: there the copy would be taken for its response.
+ * connection: there the copy would be taken for its response. A copy without an
+ * id could belong to any call, so calls without an id have connections of their
+ * own.
  */
 class CallHistory
 {
@@ -42,6 +44,7 @@
   /** Hashes of the ids. Equal hashes of different ids only cost a further
    * connection. */
   std::vector<std::size_t> m_ids;
+  bool m_hasCallsWithoutId = false;
 };
 
 } // namespace auburntrestle::http::internal
--- a/test/auburntrestle/http/client_test.cpp
+++ b/test/auburntrestle/http/client_test.cpp
@@ -343,7 +343,7 @@
 struct RepeatedResponseCase
 {
   std::string m_name;
-  /** The ids of the calls. */
+  /** The ids of the calls; empty for none. */
   std::vector<std::string> m_ids;
   std::size_t m_connections = 1;
 };
@@ -387,7 +387,8 @@
     const std::vector<std::string>& aIds,
     std::size_t aCall)
   {
-    return ResponseWithId("Id: " + aIds[aCall] + "\r\n",
+    const std::string& id = aIds[aCall];
+    return ResponseWithId(id.empty() ? "" : "Id: " + id + "\r\n",
                           "response " + std::to_string(aCall));
   }
 
@@ -396,7 +397,8 @@
 
 // Guards against a late copy of a response that is taken for the response to a
 // further call with the same id: an item of a batch job that failed twice was
-// given up as if it had failed three times.
+// given up as if it had failed three times. A copy without an id, such as that
+// of a report of an engine, was taken for the response to any later call.
 TEST_P(RepeatedResponseTest, IsNotTheResponseToALaterCall)
 {
   RawServer server(m_loop, [&](RawPeer& aPeer) { Respond(server, aPeer); });
@@ -416,7 +418,9 @@
     RepeatedResponseCase{ "same_id", { "a", "a" }, 2 },
     RepeatedResponseCase{ "same_id_later", { "a", "b", "a" }, 2 },
     RepeatedResponseCase{ "same_id_again_and_again", { "a", "a", "a" }, 3 },
-    RepeatedResponseCase{ "other_id_after_the_same", { "a", "a", "b" }, 2 }),
+    RepeatedResponseCase{ "other_id_after_the_same", { "a", "a", "b" }, 2 },
+    RepeatedResponseCase{ "no_id_before_an_id", { "", "a" }, 2 },
+    RepeatedResponseCase{ "no_id_after_an_id", { "a", "" }, 2 }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
 // Guards against a connection whose record of ids grows without end.
