Record no announcement of a service that the configuration does not name

Cause: one heartbeat of another writer, with a service that no configuration names and the address of that server, was recorded like any other. A record with a later start supersedes the other processes at its address and of its id, for good.

ForeignAnnouncementTest shows the same with the id of the server itself, and before the first configuration.

The leader, which has the newest configuration, now decides: a heartbeat of an unknown service is answered 404, logged (announcement_refused) and not recorded. A process that was recorded before its service was removed may still announce its state, so that its leaving is acknowledged. Before the first configuration no server is recorded; the next heartbeat after it is.

--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -178,7 +178,7 @@
 {
   /** Applied now or before. */
   Done,
-  /** The job or machine does not exist. */
+  /** The job, machine or service does not exist. */
   NotFound,
   /** Too few members would remain. */
   TooFewRemain,
--- a/src/auburntrestle/fleet/store_service.hpp
+++ b/src/auburntrestle/fleet/store_service.hpp
@@ -136,6 +136,10 @@
                       OutcomeCallback aCallback);
 
   // Proposals and calls of peers.
+  /** @return the result of a command that needs no log entry, or nothing; to be
+   * called on the leader. */
+  [[nodiscard]] std::optional<CommandResult> ResultWithoutEntry(
+    const Command& aCommand) const;
   /** @return whether a command announces what the state has already, or submits
    * a job that it has, which needs no log entry. Instances that are not members
    * of the log announce themselves, and forward every heartbeat, again and
--- a/src/auburntrestle/fleet/store_service_proposals.cpp
+++ b/src/auburntrestle/fleet/store_service_proposals.cpp
@@ -1,3 +1,4 @@
+#include "auburntrestle/fleet/announcement_policy.hpp"
 #include "auburntrestle/fleet/codec.hpp"
 #include "auburntrestle/fleet/job_memory.hpp"
 #include "auburntrestle/fleet/store_service.hpp"
@@ -53,8 +54,8 @@
       aReply.Fail("unreadable");
       return;
     }
-    if (IsRepeated(*command)) {
-      aReply.Send(Encode(ReplyBody(CommandReply{ CommandResult::Done })));
+    if (const auto result = ResultWithoutEntry(*command)) {
+      aReply.Send(Encode(ReplyBody(CommandReply{ *result })));
       return;
     }
     job = JobOf(*command);
@@ -76,6 +77,24 @@
     });
 }
 
+std::optional<CommandResult> StoreService::ResultWithoutEntry(
+  const Command& aCommand) const
+{
+  const auto* backend = std::get_if<AnnounceBackend>(&aCommand);
+  if (backend != nullptr &&
+      !AcceptsAnnouncement(backend->m_record,
+                           m_replica->GetState().Backends(),
+                           m_routes.get())) {
+    LogLine(LogLevel::Warning, "announcement_refused")
+      .Add("backend", backend->m_record.m_id)
+      .Add("service", backend->m_record.m_service)
+      .Add("address", backend->m_record.m_address);
+    return CommandResult::NotFound;
+  }
+  return IsRepeated(aCommand) ? std::optional(CommandResult::Done)
+                              : std::nullopt;
+}
+
 bool StoreService::IsRepeated(const Command& aCommand) const
 {
   const State& state = m_replica->GetState();
@@ -93,8 +112,10 @@
 void StoreService::ProposeLocally(const Command& aCommand,
                                   ProposalCallback aCallback)
 {
-  if (m_replica->IsLeading() && IsRepeated(aCommand)) {
-    aCallback(CommandResult::Done);
+  const auto result =
+    m_replica->IsLeading() ? ResultWithoutEntry(aCommand) : std::nullopt;
+  if (result) {
+    aCallback(*result);
     return;
   }
   const auto* retirement = std::get_if<RetireMember>(&aCommand);
