--- a/src/auburntrestle/fleet/state_jobs.cpp
+++ b/src/auburntrestle/fleet/state_jobs.cpp
@@ -1,7 +1,6 @@
-#include "auburntrestle/fleet/state.hpp"
-
 #include "auburntrestle/core/release_memory.hpp"
 #include "auburntrestle/fleet/job_memory.hpp"
+#include "auburntrestle/fleet/state.hpp"
 #include "auburntrestle/observe/log.hpp"
 
 #include <algorithm>
--- a/src/auburntrestle/fleet/store_service_proposals.cpp
+++ b/src/auburntrestle/fleet/store_service_proposals.cpp
@@ -82,9 +82,8 @@
 {
   const auto* backend = std::get_if<AnnounceBackend>(&aCommand);
   if (backend != nullptr &&
-      !AcceptsAnnouncement(backend->m_record,
-                           m_replica->GetState().Backends(),
-                           m_routes.get())) {
+      !AcceptsAnnouncement(
+        backend->m_record, m_replica->GetState().Backends(), m_routes.get())) {
     LogLine(LogLevel::Warning, "announcement_refused")
       .Add("backend", backend->m_record.m_id)
       .Add("service", backend->m_record.m_service)
--- a/src/auburntrestle/http/internal/call_history.hpp
+++ b/src/auburntrestle/http/internal/call_history.hpp
@@ -31,10 +31,7 @@
   void Record(const std::optional<Correlation>& aCorrelation);
 
   /** @return whether the connection must carry no further call. */
-  [[nodiscard]] bool IsFull() const noexcept
-  {
-    return m_ids.size() >= kMaxIds;
-  }
+  [[nodiscard]] bool IsFull() const noexcept { return m_ids.size() >= kMaxIds; }
 
   /** Bounds the memory of a connection; ids are never forgotten, since a copy
    * has no latest time. */
--- a/test/auburntrestle/fleet/announcement_policy_test.cpp
+++ b/test/auburntrestle/fleet/announcement_policy_test.cpp
@@ -51,11 +51,11 @@
   const std::map<BackendId, BackendRecord> backends{
     { BackendId("a"), MakeRecord("a", GetParam().m_recordedService) }
   };
-  EXPECT_EQ(AcceptsAnnouncement(GetParam().m_announced,
-                                backends,
-                                GetParam().m_hasConfiguration ? &*routes
-                                                              : nullptr),
-            GetParam().m_accepted);
+  EXPECT_EQ(
+    AcceptsAnnouncement(GetParam().m_announced,
+                        backends,
+                        GetParam().m_hasConfiguration ? &*routes : nullptr),
+    GetParam().m_accepted);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -65,15 +65,15 @@
     AnnouncementCase{ .m_name = "known_service",
                       .m_announced = MakeRecord("b", kKnownService, "2:2"),
                       .m_accepted = true },
-    AnnouncementCase{ .m_name = "known_service_takes_the_address",
-                      .m_announced =
-                        MakeRecord("b", kKnownService, kAddress, 11),
-                      .m_accepted = true },
+    AnnouncementCase{
+      .m_name = "known_service_takes_the_address",
+      .m_announced = MakeRecord("b", kKnownService, kAddress, 11),
+      .m_accepted = true },
     AnnouncementCase{ .m_name = "unknown_service",
                       .m_announced = MakeRecord("b", kUnknownService, "2:2") },
-    AnnouncementCase{ .m_name = "unknown_service_takes_the_address",
-                      .m_announced =
-                        MakeRecord("b", kUnknownService, kAddress, 11) },
+    AnnouncementCase{
+      .m_name = "unknown_service_takes_the_address",
+      .m_announced = MakeRecord("b", kUnknownService, kAddress, 11) },
     AnnouncementCase{ .m_name = "unknown_service_takes_the_id",
                       .m_announced = MakeRecord("a", kUnknownService) },
     AnnouncementCase{ .m_name = "no_configuration",
@@ -83,10 +83,10 @@
                       .m_announced = MakeRecord("a", kUnknownService),
                       .m_recordedService = kUnknownService,
                       .m_accepted = true },
-    AnnouncementCase{ .m_name = "service_was_removed_other_process",
-                      .m_announced =
-                        MakeRecord("a", kUnknownService, kAddress, 11),
-                      .m_recordedService = kUnknownService },
+    AnnouncementCase{
+      .m_name = "service_was_removed_other_process",
+      .m_announced = MakeRecord("a", kUnknownService, kAddress, 11),
+      .m_recordedService = kUnknownService },
     AnnouncementCase{ .m_name = "service_was_removed_other_address",
                       .m_announced = MakeRecord("a", kUnknownService, "2:2"),
                       .m_recordedService = kUnknownService }),
--- a/test/platform/endless_servers_test.cpp
+++ b/test/platform/endless_servers_test.cpp
@@ -52,7 +52,8 @@
     for (std::size_t peer = 0; peer < m_troubledEngine.AcceptedCount();
          ++peer) {
       const auto& received = m_troubledEngine.Peer(peer).Received();
-      if (received.find(std::string("POST ") + kItemPath) != std::string::npos) {
+      if (received.find(std::string("POST ") + kItemPath) !=
+          std::string::npos) {
         return true;
       }
     }
--- a/test/platform/repeated_responses_test.cpp
+++ b/test/platform/repeated_responses_test.cpp
@@ -92,7 +92,8 @@
   }
 
   std::size_t m_runs = 0;
-  RawServer m_engine{ m_loop, [this](RawPeer& aPeer) { HandleRequest(aPeer); } };
+  RawServer m_engine{ m_loop,
+                      [this](RawPeer& aPeer) { HandleRequest(aPeer); } };
 };
 
 // Guards against an item that is given up too early: a copy of the failure of
