Reserve the ports of a test also while nothing listens on them

What is known: by its logs every store of the run had version 5 or more by then, and one store was down from 1.5 to 3.7 s. Both reads came in that time. A port counted as free whenever nobody listened on it, so that a test that began in that time could be given the control port of the store that was down; the caller of the soak would then read the configuration of that test. That it had this port is suspected, as its ports are not logged.

Blocks of 64 ports are now locked by the process that uses them. PortSourceTest failed with the former class and passes now.

--- a/test/platform/instance_files.hpp
+++ b/test/platform/instance_files.hpp
@@ -2,11 +2,9 @@
 #define AUBURNTRESTLE_TEST_PLATFORM_INSTANCE_FILES_HPP
 
 #include "platform/names.hpp"
+#include "support/port_source.hpp"
 #include "support/process.hpp"
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
@@ -16,39 +14,7 @@
 
 namespace auburntrestle::platform::test {
 
-/** Selects free ports outside the ephemeral range. The system could give an
- * ephemeral port to an outgoing connection before the program under test
- * listens on it. */
-class PortSource
-{
-public:
-  /** @return ip:port on loopback that is free. */
-  [[nodiscard]] std::string Address()
-  {
-    asio::io_context context;
-    while (true) {
-      m_next = m_next >= kLastPort ? kFirstPort : m_next + 1;
-      asio::ip::tcp::acceptor acceptor(context);
-      acceptor.open(asio::ip::tcp::v4());
-      asio::error_code error;
-      acceptor.bind({ asio::ip::make_address("127.0.0.1"), m_next }, error);
-      if (!error) {
-        return "127.0.0.1:" + std::to_string(m_next);
-      }
-    }
-  }
-
-private:
-  /** The range is below the ephemeral ports of Linux. */
-  static constexpr std::uint16_t kFirstPort = 20000;
-  static constexpr std::uint16_t kLastPort = 32000;
-
-  /** Concurrent test processes start at distant ports. */
-  static constexpr int kPortsOfAProcess = 64;
-
-  std::uint16_t m_next = static_cast<std::uint16_t>(
-    kFirstPort + ::getpid() * kPortsOfAProcess % (kLastPort - kFirstPort));
-};
+using auburntrestle::test::PortSource;
 
 /** The settings file of one instance. */
 struct InstanceFile
