--- a/test/platform/foreign_announcements_test.cpp
+++ b/test/platform/foreign_announcements_test.cpp
@@ -23,6 +23,11 @@
   std::string m_name;
   std::string m_id;
   Arrival m_arrival{};
+  /** The field in which it differs from an announcement of a server. */
+  std::string m_field = "service";
+  /** The value of the field; null if it is missing. */
+  Json m_value = "of-no-configuration";
+  int m_status = 404;
 };
 
 class ForeignAnnouncementTest
@@ -34,13 +39,15 @@
   /** Above the time in which an entry instance learns of a change. */
   static constexpr int kPolls = 50;
 
-  /** @return the status of an announcement of a service that no configuration
-   * names. */
+  /** Sends the announcement of the other writer. @return its status. */
   std::optional<int> SendForeign()
   {
     Json heartbeat = Json::parse(m_sampler.Heartbeat("samplers", "ready"));
-    heartbeat["service"] = "of-no-configuration";
     heartbeat["born"] = heartbeat["born"].get<std::uint64_t>() + 1;
+    heartbeat[GetParam().m_field] = GetParam().m_value;
+    if (GetParam().m_value.is_null()) {
+      heartbeat.erase(GetParam().m_field);
+    }
     return Send(Target::Control,
                 "PUT",
                 "/auburntrestle/instances/" + GetParam().m_id,
@@ -68,13 +75,13 @@
 };
 
 // Guards against a backend server that gets no request any more, because an
-// announcement of another writer, with a service that no configuration names,
-// has its address or its id.
+// announcement of another writer has its address or its id: one that lacks a
+// field or has an odd one, or a service that no configuration names.
 TEST_P(ForeignAnnouncementTest, LeavesTheServerInUse)
 {
   if (GetParam().m_arrival == Arrival::First) {
     WaitForStore();
-    EXPECT_EQ(SendForeign(), 404);
+    EXPECT_EQ(SendForeign(), GetParam().m_status);
   }
   SendUntilServed(
     Target::Control, "PUT", "/auburntrestle/config", Configuration().dump());
@@ -84,7 +91,7 @@
                   m_sampler.Heartbeat("samplers", "ready"));
   if (GetParam().m_arrival == Arrival::WhileServing) {
     SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
-    EXPECT_EQ(SendForeign(), 404);
+    EXPECT_EQ(SendForeign(), GetParam().m_status);
     EXPECT_EQ(CountServed(), kPolls);
   } else {
     EXPECT_GT(CountServed(), 0);
@@ -97,7 +104,37 @@
   testing::Values(ForeignCase{ "other_id", "x-1", Arrival::WhileServing },
                   ForeignCase{ "own_id", "i-1", Arrival::WhileServing },
                   ForeignCase{ "other_id_first", "x-1", Arrival::First },
-                  ForeignCase{ "own_id_first", "i-1", Arrival::First }),
+                  ForeignCase{ "own_id_first", "i-1", Arrival::First },
+                  ForeignCase{ "empty_service",
+                               "x-1",
+                               Arrival::WhileServing,
+                               "service",
+                               "",
+                               400 },
+                  ForeignCase{ "unknown_state",
+                               "x-1",
+                               Arrival::WhileServing,
+                               "state",
+                               "resting",
+                               400 },
+                  ForeignCase{ "no_state",
+                               "i-1",
+                               Arrival::WhileServing,
+                               "state",
+                               nullptr,
+                               400 },
+                  ForeignCase{ "slots_of_another_type",
+                               "x-1",
+                               Arrival::WhileServing,
+                               "slots",
+                               "4",
+                               400 },
+                  ForeignCase{ "no_start",
+                               "x-1",
+                               Arrival::WhileServing,
+                               "born",
+                               nullptr,
+                               400 }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
 } // namespace
