--- a/src/auburntrestle/event_loop/event_loop.cpp
+++ b/src/auburntrestle/event_loop/event_loop.cpp
@@ -16,6 +16,7 @@
 
 void EventLoop::Post(Callback aCallback)
 {
+  m_posted.fetch_add(1, std::memory_order_relaxed);
   asio::post(m_context, std::move(aCallback));
 }
 
@@ -59,6 +60,7 @@
     if (found != m_callbacks.end()) {
       const Callback callback = std::move(found->second);
       m_callbacks.erase(found);
+      ++m_expired;
       callback();
     }
   }
--- a/src/auburntrestle/event_loop/event_loop.hpp
+++ b/src/auburntrestle/event_loop/event_loop.hpp
@@ -9,12 +9,22 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <initializer_list>
 #include <unordered_map>
 
 namespace auburntrestle::event_loop {
 
+/** What a loop has run since its start, apart from sockets. */
+struct LoopCounts
+{
+  std::uint64_t m_posted = 0;
+  /** Timers that expired. */
+  std::uint64_t m_expired = 0;
+};
+
 /**
  * Runs sockets, timers and posted callbacks on one thread. All timers share one
  * system timer that is armed for the earliest deadline, so an idle loop never
@@ -41,6 +51,12 @@
   /** @return whether the timer had not yet expired; on the loop only. */
   bool Cancel(timer::TimerId aId);
 
+  /** @return what the loop has run; on the loop only. */
+  [[nodiscard]] LoopCounts GetCounts() const noexcept
+  {
+    return { m_posted.load(std::memory_order_relaxed), m_expired };
+  }
+
   /** Calls a function on the loop for each arrival of these signals. */
   void OnSignals(std::initializer_list<int> aSignals,
                  std::function<void(int)> aCallback);
@@ -65,6 +81,8 @@
   std::unordered_map<timer::TimerId, Callback> m_callbacks;
   /** Time for which the system timer is armed, or max if it is not. */
   TimePoint m_armedFor = TimePoint::max();
+  std::atomic<std::uint64_t> m_posted = 0;
+  std::uint64_t m_expired = 0;
 };
 
 } // namespace auburntrestle::event_loop
