Continue an output only with the software that generated it

The cause is that the software version of a backend server was not read: its announcement states it, and nothing kept it. An item whose software no engine serves any more starts again at once, one for which there is no free slot after a second, if another engine has one. An output of unknown software, as earlier builds recorded it, is never continued.

--- a/src/auburntrestle/core/ids.hpp
+++ b/src/auburntrestle/core/ids.hpp
@@ -40,6 +40,9 @@
 using SampleIndex = StrongType<struct SampleIndexTag, std::uint32_t>;
 /** A version of a model's weights, counted by its trainer. */
 using WeightVersion = StrongType<struct WeightVersionTag, std::uint64_t>;
+/** A version of the software of backend servers, as they state it; versions
+ * have no order. Empty if a server states none. */
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
 /** A fencing token: orders the holders of a lease. */
 using Fencing = StrongType<struct FencingTag, std::uint64_t>;
 /** A leadership term of the replicated log. */
--- a/src/auburntrestle/fleet/backend_record.hpp
+++ b/src/auburntrestle/fleet/backend_record.hpp
@@ -48,6 +48,8 @@
    * announced; not part of HasSameRouting, so that members of both builds apply
    * the same changes. */
   bool m_preemptible = false;
+  /** Set when the process is first announced, like m_preemptible. */
+  SoftwareVersion m_software;
 
   [[nodiscard]] BackendProcess Process() const
   {
--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -100,6 +100,8 @@
   std::vector<WeightVersion> m_versions;
   /** m_lastEvent is the last event of the output. */
   bool m_complete = false;
+  /** See PartialOutput. */
+  SoftwareVersion m_software = {};
 };
 
 /** Records partial outputs of long items and complete outputs that wait for
--- a/src/auburntrestle/fleet/engine_pool.cpp
+++ b/src/auburntrestle/fleet/engine_pool.cpp
@@ -164,7 +164,9 @@
   if (engine.m_load) {
     view.m_loading = engine.m_load->m_model;
   }
-  view.m_accepting = engine.m_versionsKnown && IsServing(engine) &&
+  view.m_software = engine.m_record.m_software;
+  view.m_serving = IsServing(engine);
+  view.m_accepting = engine.m_versionsKnown && view.m_serving &&
                      engine.m_avoidUntil <= now && permit <= now;
   m_scheduler.SetEngine(aId, view);
 }
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -36,7 +36,8 @@
            aRecord.m_state,
            aRecord.m_incarnation,
            aRecord.m_sequence,
-           Appended{ aRecord.m_preemptible });
+           Appended{ aRecord.m_preemptible },
+           Appended{ aRecord.m_software });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::OutputReference> auto& aReference)
@@ -140,7 +141,8 @@
            aItem.m_lastEvent,
            aItem.m_output,
            aItem.m_versions,
-           Appended{ aItem.m_complete });
+           Appended{ aItem.m_complete },
+           Appended{ aItem.m_software });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::RecordProgress> auto& aCommand)
@@ -172,7 +174,8 @@
   aArchive(aOutput.m_lastEvent,
            aOutput.m_output,
            aOutput.m_versions,
-           Appended{ aOutput.m_complete });
+           Appended{ aOutput.m_complete },
+           Appended{ aOutput.m_software });
 }
 
 void Fields(auto& aArchive, MaybeConst<fleet::EndJob> auto& aCommand)
--- a/src/auburntrestle/fleet/internal/job_items.hpp
+++ b/src/auburntrestle/fleet/internal/job_items.hpp
@@ -35,12 +35,20 @@
   std::optional<std::uint64_t> m_recordedEvent;
   std::size_t m_recordedBytes = 0;
 
+  /** Since when the item waits for an engine that continues its output; a run
+   * that brought no event does not count. */
+  TimePoint m_waitsSince{};
+
   // The current run.
   std::optional<BackendId> m_engine;
+  /** The software of the engine, as known at the start of the run. */
+  SoftwareVersion m_software;
   std::shared_ptr<http::Call> m_call;
   std::optional<ItemResponseHead> m_head;
   TimePoint m_startedAt{};
   TimePoint m_lastEventAt{};
+  /** The run has brought an event. */
+  bool m_hasEvents = false;
 
   explicit Item(std::string aVersionField)
     : m_transcript(std::move(aVersionField))
--- a/src/auburntrestle/fleet/item_scheduler.cpp
+++ b/src/auburntrestle/fleet/item_scheduler.cpp
@@ -19,6 +19,12 @@
  * on the other engine. */
 constexpr double kMigrationSpeedup = 2.0;
 
+/** @return whether an engine can continue what the software generated. */
+bool Continues(const EngineView& aEngine, const SoftwareVersion& aSoftware)
+{
+  return aSoftware != SoftwareVersion() && aEngine.m_software == aSoftware;
+}
+
 } // namespace
 
 void ItemScheduler::SetEngine(const BackendId& aId, const EngineView& aView)
@@ -39,6 +45,9 @@
       aEngine.m_running >= view.m_slots) {
     return false;
   }
+  if (aRequirements.m_software && !Continues(view, *aRequirements.m_software)) {
+    return false;
+  }
   if (!aRequirements.m_model) {
     return !view.m_loading;
   }
@@ -161,6 +170,17 @@
            : std::nullopt;
 }
 
+bool ItemScheduler::IsServing(const ServiceName& aService,
+                              const SoftwareVersion& aSoftware) const
+{
+  return std::any_of(
+    m_engines.begin(), m_engines.end(), [&](const auto& aItem) {
+      const EngineView& view = aItem.second.m_view;
+      return view.m_serving && view.m_service == aService &&
+             Continues(view, aSoftware);
+    });
+}
+
 std::size_t ItemScheduler::TotalSlots(const ServiceName& aService) const
 {
   std::size_t slots = 0;
--- a/src/auburntrestle/fleet/item_scheduler.hpp
+++ b/src/auburntrestle/fleet/item_scheduler.hpp
@@ -20,8 +20,11 @@
   ServiceName m_service;
   /** Items that the engine runs concurrently without queueing. */
   std::uint32_t m_slots = 1;
+  /** Neither leaves nor has left. */
+  bool m_serving = false;
   /** Accepts new items: it is serving and not avoided. */
   bool m_accepting = false;
+  SoftwareVersion m_software = {};
   /** The model whose weights are being loaded; items of other models are not
    * affected. */
   std::optional<ModelName> m_loading;
@@ -38,6 +41,9 @@
   /** The version that generated the partial output, if the whole output has to
    * come from a single version. */
   std::optional<WeightVersion> m_onlyVersion;
+  /** The software that generated the partial output; absent if there is none.
+   */
+  std::optional<SoftwareVersion> m_software = std::nullopt;
   GroupId m_group;
   /** The engine that last failed this item; used only as a last resort. */
   std::optional<BackendId> m_avoid;
@@ -76,6 +82,10 @@
   [[nodiscard]] std::optional<BackendId> MigrationTarget(
     const BackendId& aFrom,
     const ItemRequirements& aRequirements) const;
+  /** @return whether an engine of a service that does not leave has this
+   * software; it may accept no items at present. */
+  [[nodiscard]] bool IsServing(const ServiceName& aService,
+                               const SoftwareVersion& aSoftware) const;
   /** @return the slots of all engines of a service that accept items. */
   [[nodiscard]] std::size_t TotalSlots(const ServiceName& aService) const;
   /** @return the number of items that run on an engine. */
--- a/src/auburntrestle/fleet/item_transcript.cpp
+++ b/src/auburntrestle/fleet/item_transcript.cpp
@@ -37,9 +37,27 @@
 {
 }
 
-void ItemTranscript::BeginRun(std::optional<WeightVersion> aVersion)
+void ItemTranscript::BeginRun(std::optional<WeightVersion> aVersion,
+                              SoftwareVersion aSoftware)
 {
   m_version = aVersion;
+  m_software = std::move(aSoftware);
+  DiscardEvent();
+}
+
+bool ItemTranscript::MayContinue(const SoftwareVersion& aSoftware) const
+{
+  return !m_lastEvent ||
+         (aSoftware != SoftwareVersion() && aSoftware == m_software);
+}
+
+std::optional<SoftwareVersion> ItemTranscript::Software() const
+{
+  return m_lastEvent ? std::optional(m_software) : std::nullopt;
+}
+
+void ItemTranscript::DiscardEvent()
+{
   m_line.clear();
   m_eventId.reset();
   m_data.clear();
@@ -156,7 +174,9 @@
   m_output.clear();
   m_events = 0;
   m_versions.clear();
-  BeginRun(std::nullopt);
+  m_version.reset();
+  m_software = SoftwareVersion();
+  DiscardEvent();
 }
 
 void ItemTranscript::Restore(const PartialOutput& aOutput)
@@ -166,6 +186,7 @@
   m_output = aOutput.m_output;
   m_events = 1;
   m_versions.insert(aOutput.m_versions.begin(), aOutput.m_versions.end());
+  m_software = aOutput.m_software;
 }
 
 std::optional<PartialOutput> ItemTranscript::ToPartialOutput() const
@@ -173,7 +194,7 @@
   if (!m_lastEvent) {
     return std::nullopt;
   }
-  return PartialOutput{ *m_lastEvent, m_output, Versions() };
+  return PartialOutput{ *m_lastEvent, m_output, Versions(), false, m_software };
 }
 
 std::vector<WeightVersion> ItemTranscript::Versions() const
--- a/src/auburntrestle/fleet/item_transcript.hpp
+++ b/src/auburntrestle/fleet/item_transcript.hpp
@@ -53,11 +53,14 @@
                           TranscriptLimits aLimits = {});
 
   /**
-   * Begins a run that continues after LastEvent().
+   * Begins a run that continues after LastEvent(). There must be no event yet
+   * unless MayContinue(aSoftware).
    *
    * @param aVersion the weight version at the start of the run, if known.
+   * @param aSoftware the software of the engine.
    */
-  void BeginRun(std::optional<WeightVersion> aVersion);
+  void BeginRun(std::optional<WeightVersion> aVersion,
+                SoftwareVersion aSoftware);
 
   /**
    * Parses the next bytes of the run.
@@ -69,6 +72,11 @@
 
   /** @return whether the last event of the run is incomplete. */
   [[nodiscard]] bool IsInsideEvent() const noexcept;
+  /** @return whether a run on an engine with this software can continue the
+   * output: engines do not check that they understand what others generated. */
+  [[nodiscard]] bool MayContinue(const SoftwareVersion& aSoftware) const;
+  /** @return the software that generated the output, if there is any. */
+  [[nodiscard]] std::optional<SoftwareVersion> Software() const;
   /** Replaces the output by one that was collected earlier. */
   void Restore(const PartialOutput& aOutput);
   /** @return the output so far, or nothing before the first event. */
@@ -96,6 +104,8 @@
   }
 
 private:
+  /** Discards the incomplete event. */
+  void DiscardEvent();
   [[nodiscard]] bool ParseLine(std::string_view aLine);
   [[nodiscard]] bool IsWithinLimits() const noexcept;
   [[nodiscard]] bool FinishEvent();
@@ -107,6 +117,7 @@
   std::size_t m_events = 0;
   std::set<WeightVersion> m_versions;
   std::optional<WeightVersion> m_version;
+  SoftwareVersion m_software;
 
   // State of the incomplete event.
   std::string m_line;
--- a/src/auburntrestle/fleet/job.hpp
+++ b/src/auburntrestle/fleet/job.hpp
@@ -144,6 +144,9 @@
   std::vector<WeightVersion> m_versions;
   /** The output has its last event; only the score is missing. */
   bool m_complete = false;
+  /** The software that generated the output; no other can continue it. Empty if
+   * unknown: nothing can continue it. */
+  SoftwareVersion m_software = {};
 };
 
 /** An accepted batch job. */
--- a/src/auburntrestle/fleet/job_runner.cpp
+++ b/src/auburntrestle/fleet/job_runner.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kLoadingStallTimeout = std::chrono::milliseconds(4000);
 /** Minimum age of a run before it may migrate off a slow engine. */
 constexpr Duration kMinMigrationAge = std::chrono::milliseconds(500);
+/** An item with a partial output waits no longer for an engine that can
+ * continue it if another one can start the item again. */
+constexpr Duration kMaxContinuationWait = std::chrono::seconds(1);
 
 } // namespace
 
@@ -165,6 +168,7 @@
   requirements.m_minVersion = spec.m_minVersion;
   requirements.m_group = item.m_group;
   requirements.m_avoid = aItem.m_avoid;
+  requirements.m_software = aItem.m_transcript.Software();
   const Route* route = m_routes->Match(spec.m_host, item.m_path);
   if (route == nullptr) {
     return requirements;
@@ -195,14 +199,39 @@
   ItemRequirements requirements = RequirementsOf(*aItem);
   requirements.m_service = *service;
   const auto engine = m_engines.Scheduler().Place(requirements);
+  if (engine) {
+    return StartRun(aItem, *engine);
+  }
+  if (requirements.m_onlyVersion) {
+    // No engine has the version of the partial output any more, so the item
+    // starts again.
+    DiscardOutput(*aItem);
+    return false;
+  }
+  return requirements.m_software && TryRestart(aItem, requirements);
+}
+
+bool JobRunner::TryRestart(const ItemPtr& aItem,
+                           const ItemRequirements& aRequirements)
+{
+  const auto& scheduler = m_engines.Scheduler();
+  const Duration waited = MonotonicClock::Now() - aItem->m_waitsSince;
+  if (waited < kMaxContinuationWait &&
+      scheduler.IsServing(aRequirements.m_service, *aRequirements.m_software)) {
+    return false;
+  }
+  ItemRequirements requirements = aRequirements;
+  requirements.m_software.reset();
+  const auto engine = scheduler.Place(requirements);
   if (!engine) {
-    if (requirements.m_onlyVersion) {
-      // No engine has the version of the partial output any more, so the item
-      // starts again.
-      DiscardOutput(*aItem);
-    }
     return false;
   }
+  LogLine(LogLevel::Info, "item_restarted")
+    .Add("job", aItem->m_job->m_spec->m_id)
+    .Add("item", aItem->Spec().m_id)
+    .Add("software", *aRequirements.m_software)
+    .Add("after_event", aItem->m_transcript.LastEvent().value_or(0));
+  DiscardOutput(*aItem);
   return StartRun(aItem, *engine);
 }
 
@@ -237,7 +266,9 @@
   if (!request) {
     return false;
   }
+  const BackendRecord& record = *m_engines.RecordOf(aEngine);
   aItem->m_engine = aEngine;
+  aItem->m_software = record.m_software;
   ++aItem->m_job->m_running;
   aItem->m_head.reset();
   aItem->m_startedAt = MonotonicClock::Now();
@@ -251,7 +282,7 @@
     .Add("engine", aEngine)
     .Add("after_event", aItem->m_transcript.LastEvent().value_or(0));
   aItem->m_call = m_client.Start(
-    *m_engines.RecordOf(aEngine),
+    record,
     *request,
     options,
     http::CallHandlers{
@@ -288,7 +319,7 @@
       return;
     }
   }
-  aItem->m_transcript.BeginRun(version);
+  aItem->m_transcript.BeginRun(version, aItem->m_software);
 }
 
 void JobRunner::OnBody(const ItemPtr& aItem, std::string_view aBody)
@@ -319,6 +350,7 @@
       m_engines.Scheduler().RecordEventInterval(*aItem->m_engine, gap);
     }
     aItem->m_lastEventAt = now;
+    aItem->m_hasEvents = true;
   }
 }
 
@@ -435,6 +467,9 @@
 void JobRunner::Requeue(const ItemPtr& aItem)
 {
   if (!aItem->m_job->m_ended) {
+    if (std::exchange(aItem->m_hasEvents, false)) {
+      aItem->m_waitsSince = MonotonicClock::Now();
+    }
     aItem->m_job->m_waiting.push_front(aItem);
     Dispatch();
   }
@@ -479,6 +514,13 @@
     AbortRun(aItem, "engine_gone");
     return;
   }
+  if (m_engines.RecordOf(engine)->m_software != aItem->m_software) {
+    // The engine has restarted with other software, and it is not known which
+    // events it generated since.
+    DiscardOutput(*aItem);
+    AbortRun(aItem, "engine_updated");
+    return;
+  }
   const bool loading = m_engines.IsLoading(engine);
   const Duration limit = loading ? kLoadingStallTimeout : kStallTimeout;
   if (aNow - aItem->m_lastEventAt > limit) {
--- a/src/auburntrestle/fleet/job_runner.hpp
+++ b/src/auburntrestle/fleet/job_runner.hpp
@@ -120,6 +120,10 @@
   [[nodiscard]] ItemRequirements RequirementsOf(const Item& aItem) const;
   /** @return false if no engine of the item's service has a free slot. */
   bool TryStart(const ItemPtr& aItem);
+  /** Starts an item without its partial output if no engine can continue it.
+   * @param aRequirements with the software of the partial output.
+   * @return false if no engine has a free slot, or the item should wait. */
+  bool TryRestart(const ItemPtr& aItem, const ItemRequirements& aRequirements);
   /** Starts a run. @return false if the body of the item can't be read. */
   bool StartRun(const ItemPtr& aItem, const BackendId& aEngine);
   /** @return the request for an item, or nothing if its body can't be read. */
--- a/src/auburntrestle/fleet/job_runner_outputs.cpp
+++ b/src/auburntrestle/fleet/job_runner_outputs.cpp
@@ -27,6 +27,7 @@
   auto item = std::make_shared<Item>(m_protocol.m_versionField);
   item->m_job = aJob;
   item->m_index = aIndex;
+  item->m_waitsSince = MonotonicClock::Now();
   auto& group = aJob->m_groups[item->Spec().m_group];
   if (!group) {
     group = std::make_shared<RewardGroup>();
@@ -114,12 +115,14 @@
       continue;
     }
     const auto& output = item->m_transcript.Output();
-    command.m_items.push_back(
-      ItemProgress{ aJob.m_spec->m_items[item->m_index].m_id,
-                    item->m_recordedEvent,
-                    *last,
-                    output.substr(item->m_recordedBytes),
-                    item->m_transcript.Versions() });
+    command.m_items.push_back(ItemProgress{
+      aJob.m_spec->m_items[item->m_index].m_id,
+      item->m_recordedEvent,
+      *last,
+      output.substr(item->m_recordedBytes),
+      item->m_transcript.Versions(),
+      false,
+      item->m_transcript.Software().value_or(SoftwareVersion()) });
     item->m_recordedEvent = last;
     item->m_recordedBytes = output.size();
   }
--- a/src/auburntrestle/fleet/state_jobs.cpp
+++ b/src/auburntrestle/fleet/state_jobs.cpp
@@ -300,6 +300,7 @@
     progress->second.m_output += item.m_output;
     progress->second.m_versions = item.m_versions;
     progress->second.m_complete = item.m_complete;
+    progress->second.m_software = item.m_software;
   }
   return CommandResult::Done;
 }
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -378,7 +378,8 @@
           .Add("service", record.m_service)
           .Add("address", record.m_address)
           .Add("state", static_cast<int>(record.m_state))
-          .Add("incarnation", record.m_incarnation);
+          .Add("incarnation", record.m_incarnation)
+          .Add("software", record.m_software);
         UpdateBackends();
         m_queries->OnStateChanged();
       },
--- a/test/auburntrestle/fleet/item_transcript_test.cpp
+++ b/test/auburntrestle/fleet/item_transcript_test.cpp
@@ -26,7 +26,7 @@
 TEST_P(TranscriptTest, AcceptsCompleteEventsInOrder)
 {
   ItemTranscript transcript(kVersionField);
-  transcript.BeginRun(WeightVersion(1));
+  transcript.BeginRun(WeightVersion(1), SoftwareVersion("v1"));
   bool fits = true;
   for (const auto& piece : GetParam().m_pieces) {
     fits = fits && transcript.Feed(piece).has_value();
@@ -58,10 +58,10 @@
 TEST(TranscriptVersionsTest, ListsTheVersionsThatGeneratedEvents)
 {
   ItemTranscript transcript(kVersionField);
-  transcript.BeginRun(WeightVersion(3));
+  transcript.BeginRun(WeightVersion(3), SoftwareVersion("v1"));
   ASSERT_TRUE(transcript.Feed("id: 1\ndata: a\n\n"));
   ASSERT_TRUE(transcript.Feed("version: 4\nid: 2\ndata: b\n\n"));
-  transcript.BeginRun(WeightVersion(6));
+  transcript.BeginRun(WeightVersion(6), SoftwareVersion("v1"));
   EXPECT_EQ(transcript.Versions(),
             (std::vector{ WeightVersion(3), WeightVersion(4) }));
   ASSERT_TRUE(transcript.Feed("id: 3\ndata: c\n\n"));
@@ -73,7 +73,7 @@
 {
   ItemTranscript transcript(kVersionField);
   transcript.Restore({ 7, "x\ny", { WeightVersion(2) } });
-  transcript.BeginRun(WeightVersion(3));
+  transcript.BeginRun(WeightVersion(3), SoftwareVersion("v1"));
   ASSERT_TRUE(transcript.Feed("id: 8\ndata: z\n\n"));
   EXPECT_EQ(transcript.Output(), "x\ny\nz");
   EXPECT_EQ(transcript.Versions().size(), 2U);
@@ -96,7 +96,7 @@
 {
   constexpr std::size_t kPieces = 10'000;
   ItemTranscript transcript(kVersionField, { 1000, 4000 });
-  transcript.BeginRun(WeightVersion(1));
+  transcript.BeginRun(WeightVersion(1), SoftwareVersion("v1"));
   auto result = transcript.Feed(GetParam().m_start);
   for (std::size_t piece = 0; piece < kPieces && result; ++piece) {
     result = transcript.Feed(GetParam().m_repeated);
@@ -117,7 +117,7 @@
 {
   constexpr int kMaxEvents = 10'000;
   ItemTranscript transcript(kVersionField, { 1000, 4000 });
-  transcript.BeginRun(WeightVersion(1));
+  transcript.BeginRun(WeightVersion(1), SoftwareVersion("v1"));
   int event = 0;
   tl::expected<std::size_t, TranscriptFault> result = 0;
   while (result && event < kMaxEvents) {
--- a/test/platform/small_deployment.hpp
+++ b/test/platform/small_deployment.hpp
@@ -97,6 +97,8 @@
     entry.m_readiness = m_ports.Address();
     entry.m_metrics = m_ports.Address();
     Start(entry, store.m_peers);
+    m_entry = entry;
+    m_seed = store.m_peers;
     m_addresses = { { Target::Callers, entry.m_callers },
                     { Target::Readiness, entry.m_readiness },
                     { Target::EntryMetrics, entry.m_metrics },
@@ -120,6 +122,14 @@
                                  aFile.Start(m_folder, { aSeed }));
   }
 
+  /** Kills the entry instance and starts it again. */
+  void RestartEntry()
+  {
+    m_processes.at(m_entry.m_name).Kill();
+    Start(m_entry, m_seed);
+    SendUntilServed(Target::Readiness, "GET", "/auburntrestle/ready");
+  }
+
   /** @return a request as a caller sends it. */
   [[nodiscard]] static http::Request WithId(const std::string& aMethod,
                                             const std::string& aPath,
@@ -320,25 +330,32 @@
   }
 
   /** Announces a server whose weights have version 1 and that sends raw bytes.
+   *
+   * @param aSoftware the version of its software; empty for none.
+   * @param aState "ready" or "draining".
    */
   void Announce(const std::string& aId,
                 const std::string& aService,
-                const http::test::RawServer& aServer)
+                const http::test::RawServer& aServer,
+                const std::string& aSoftware = "v1",
+                const std::string& aState = "ready")
   {
-    const Json heartbeat{ { "service", aService },
-                          { "address", aServer.Address() },
-                          { "zone", "zone-a" },
-                          { "version", "v1" },
-                          { "slots", 4 },
-                          { "state", "ready" },
-                          { "cold_left_ms", 0 },
-                          { "stage", "both" },
-                          { "models",
-                            { { { "name", "m" },
-                                { "version", 1 },
-                                { "adapters", Json::array() } } } },
-                          { "sequence", 1 },
-                          { "born", 1000 } };
+    Json heartbeat{ { "service", aService },
+                    { "address", aServer.Address() },
+                    { "zone", "zone-a" },
+                    { "slots", 4 },
+                    { "state", aState },
+                    { "cold_left_ms", 0 },
+                    { "stage", "both" },
+                    { "models",
+                      { { { "name", "m" },
+                          { "version", 1 },
+                          { "adapters", Json::array() } } } },
+                    { "sequence", ++m_announced },
+                    { "born", 1000 } };
+    if (!aSoftware.empty()) {
+      heartbeat["version"] = aSoftware;
+    }
     SendUntilServed(Target::Control,
                     "PUT",
                     "/auburntrestle/instances/" + aId,
@@ -346,6 +363,8 @@
   }
 
   MachineSize m_size;
+  InstanceFile m_entry;
+  std::string m_seed;
   event_loop::EventLoop m_loop;
   Sampler m_sampler{ m_loop, "i-1", "m" };
   PortSource m_ports;
@@ -353,6 +372,7 @@
   std::map<std::string, auburntrestle::test::Process> m_processes;
   std::map<Target, std::string> m_addresses;
   int m_sent = 0;
+  int m_announced = 0;
 };
 
 } // namespace auburntrestle::platform::test
