Resume a stream only at the software that began it

The origin of a resumable stream is now recorded in the log before its response is passed on, by the id that callers name when they take it up, and a resumption goes only to servers with that version; without one, or if the origin is unknown, it is refused at once.

--- a/src/auburntrestle/fleet/backend_chooser.cpp
+++ b/src/auburntrestle/fleet/backend_chooser.cpp
@@ -45,17 +45,20 @@
   m_backends = std::move(kept);
 }
 
-const BackendRecord* BackendChooser::Choose(const ServiceName& aService,
-                                            const std::set<BackendId>& aExclude,
-                                            TimePoint aNow) const
+const BackendRecord* BackendChooser::Choose(
+  const ServiceName& aService,
+  const std::set<BackendId>& aExclude,
+  TimePoint aNow,
+  const std::optional<SoftwareVersion>& aSoftware) const
 {
   const Backend* best = nullptr;
   double bestCost = 0;
   bool bestAvoided = false;
   for (const auto& [id, backend] : m_backends) {
-    if (backend.m_record.m_service != aService || backend.m_misdirected ||
-        IsDraining(backend) || aExclude.contains(id) || IsFull(backend) ||
-        PermitOf(backend) > aNow) {
+    const bool fits = !aSoftware || *aSoftware == backend.m_record.m_software;
+    if (backend.m_record.m_service != aService || !fits ||
+        backend.m_misdirected || IsDraining(backend) || aExclude.contains(id) ||
+        IsFull(backend) || PermitOf(backend) > aNow) {
       continue;
     }
     const double latency =
--- a/src/auburntrestle/fleet/backend_chooser.hpp
+++ b/src/auburntrestle/fleet/backend_chooser.hpp
@@ -52,12 +52,16 @@
 
   /**
    * @param aExclude backend servers that have received this request already.
+   * @param aSoftware the only software that may run the request; absent for
+   *   any.
    * @return the serving backend server with the lowest expected latency, or
    *   null.
    */
-  [[nodiscard]] const BackendRecord* Choose(const ServiceName& aService,
-                                            const std::set<BackendId>& aExclude,
-                                            TimePoint aNow) const;
+  [[nodiscard]] const BackendRecord* Choose(
+    const ServiceName& aService,
+    const std::set<BackendId>& aExclude,
+    TimePoint aNow,
+    const std::optional<SoftwareVersion>& aSoftware = std::nullopt) const;
 
   /** Records that a request was sent. */
   void RecordSent(const BackendId& aId);
--- a/src/auburntrestle/fleet/commands.hpp
+++ b/src/auburntrestle/fleet/commands.hpp
@@ -4,6 +4,7 @@
 #include "auburntrestle/fleet/backend_record.hpp"
 #include "auburntrestle/fleet/job.hpp"
 #include "auburntrestle/fleet/route_configuration.hpp"
+#include "auburntrestle/fleet/stream_origin.hpp"
 #include "auburntrestle/fleet/usage.hpp"
 
 #include <cstdint>
@@ -159,6 +160,13 @@
   std::vector<JobId> m_jobs;
 };
 
+/** Records which software began a stream, before its first event is passed on;
+ * a known id is ignored. */
+struct RecordStream
+{
+  StreamRecord m_stream;
+};
+
 using Command = std::variant<PutConfiguration,
                              AnnounceBackend,
                              RemoveBackend,
@@ -173,7 +181,8 @@
                              RecordOrder,
                              RecordDutyLease,
                              RecordUsage,
-                             CompleteUsage>;
+                             CompleteUsage,
+                             RecordStream>;
 
 /** The result of applying a command. */
 enum class CommandResult : std::uint8_t
--- a/src/auburntrestle/fleet/entry_service.cpp
+++ b/src/auburntrestle/fleet/entry_service.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1000);
 /** Routes that were not confirmed for this long may be out of date. */
 constexpr Duration kMaxRoutesAge = std::chrono::milliseconds(1500);
+/** Callers wait for the first event of a stream meanwhile. */
+constexpr Duration kRecordStreamTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kFindStreamTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kPermitTimeout = std::chrono::milliseconds(100);
 constexpr Duration kMinPermitDelay = std::chrono::milliseconds(10);
 constexpr Duration kPermitRetryDelay = std::chrono::milliseconds(200);
@@ -70,6 +73,13 @@
   , m_watches(m_options.m_self, m_options.m_dataCentre)
 {
   m_chooser.SetStatements(m_client.Limits(), m_client.Draining());
+  m_relay.SetStreamHooks(
+    { [this](const StreamId& aId, const StreamOrigin& aOrigin, auto aCallback) {
+       RecordStreamOrigin(aId, aOrigin, std::move(aCallback));
+     },
+      [this](const StreamId& aId, auto aCallback) {
+        FindStreamOrigin(aId, std::move(aCallback));
+      } });
 }
 
 EntryService::~EntryService()
@@ -286,6 +296,45 @@
                     });
 }
 
+void EntryService::RecordStreamOrigin(const StreamId& aId,
+                                      const StreamOrigin& aOrigin,
+                                      std::function<void()> aCallback)
+{
+  m_link->Propose(RecordStream{ { aId, aOrigin, WallNow() } },
+                  kRecordStreamTimeout,
+                  [aId, callback = std::move(aCallback)](
+                    const tl::expected<CommandResult, LinkError>& aResult) {
+                    if (!aResult) {
+                      LogLine(LogLevel::Warning, "stream_not_recorded")
+                        .Add("stream", aId)
+                        .Add("reason", ToString(aResult.error()));
+                    }
+                    callback();
+                  });
+}
+
+void EntryService::FindStreamOrigin(
+  const StreamId& aId,
+  std::function<void(std::optional<StreamOrigin>)> aCallback)
+{
+  m_link->SendQuery(ReadStream{ aId },
+                    kFindStreamTimeout,
+                    Duration::zero(),
+                    [aId, callback = std::move(aCallback)](
+                      const tl::expected<ReplyBody, LinkError>& aReply) {
+                      const auto* view =
+                        aReply ? std::get_if<StreamView>(&*aReply) : nullptr;
+                      const auto origin =
+                        view != nullptr ? view->m_origin : std::nullopt;
+                      if (!origin) {
+                        LogLine(LogLevel::Info, "stream_unknown")
+                          .Add("stream", aId)
+                          .Add("answered", view != nullptr);
+                      }
+                      callback(origin);
+                    });
+}
+
 void EntryService::SubmitJob(JobSpec aSpec,
                              Duration aTimeout,
                              std::function<void(SubmitOutcome)> aCallback)
--- a/src/auburntrestle/fleet/entry_service.hpp
+++ b/src/auburntrestle/fleet/entry_service.hpp
@@ -124,6 +124,14 @@
   /** Asks the leader for a permit; see PermitFunction. */
   void AskForPermit(const RequestPermit& aRequest,
                     std::function<void(std::optional<Duration>)> aCallback);
+  /** Records the origin of a stream in the log; see StreamHooks. */
+  void RecordStreamOrigin(const StreamId& aId,
+                          const StreamOrigin& aOrigin,
+                          std::function<void()> aCallback);
+  /** Asks the leader for the origin of a stream; see StreamHooks. */
+  void FindStreamOrigin(
+    const StreamId& aId,
+    std::function<void(std::optional<StreamOrigin>)> aCallback);
   void ApplyConfiguration(const ConfigurationView& aView);
   /** Starts to count the requests of accounts. */
   void SetUpUsage();
--- a/src/auburntrestle/fleet/internal/fields.hpp
+++ b/src/auburntrestle/fleet/internal/fields.hpp
@@ -252,6 +252,31 @@
   aArchive(aCommand.m_window);
 }
 
+void Fields(auto& aArchive, MaybeConst<fleet::StreamOrigin> auto& aOrigin)
+{
+  aArchive(aOrigin.m_service, aOrigin.m_software);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::StreamRecord> auto& aStream)
+{
+  aArchive(aStream.m_id, aStream.m_origin, aStream.m_at);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::RecordStream> auto& aCommand)
+{
+  aArchive(aCommand.m_stream);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::ReadStream> auto& aQuery)
+{
+  aArchive(aQuery.m_id);
+}
+
+void Fields(auto& aArchive, MaybeConst<fleet::StreamView> auto& aView)
+{
+  aArchive(aView.m_origin);
+}
+
 void Fields(auto& aArchive, MaybeConst<fleet::UsageState> auto& aState)
 {
   aArchive(aState.m_firstOpen, aState.m_unreported);
--- a/src/auburntrestle/fleet/messages.hpp
+++ b/src/auburntrestle/fleet/messages.hpp
@@ -117,13 +117,20 @@
   UsageByWindow m_counts;
 };
 
+/** Reads which software began a stream; the reply is a StreamView. */
+struct ReadStream
+{
+  StreamId m_id;
+};
+
 using Query = std::variant<ReadJob,
                            ReadItem,
                            ReadConfiguration,
                            ReadRetirement,
                            Watch,
                            RequestPermit,
-                           SubmitUsage>;
+                           SubmitUsage,
+                           ReadStream>;
 
 /** The reply to a proposed command. */
 struct CommandReply
@@ -214,6 +221,12 @@
   Term m_term = {};
 };
 
+/** The origin of a stream, if it is known. */
+struct StreamView
+{
+  std::optional<StreamOrigin> m_origin;
+};
+
 using ReplyBody = std::variant<CommandReply,
                                JobView,
                                ItemView,
@@ -221,7 +234,8 @@
                                RetirementView,
                                DirectoryView,
                                PermitView,
-                               UsageView>;
+                               UsageView,
+                               StreamView>;
 
 } // namespace auburntrestle::fleet
 
--- a/src/auburntrestle/fleet/query_server.cpp
+++ b/src/auburntrestle/fleet/query_server.cpp
@@ -176,6 +176,15 @@
   return ReplyBody(m_submitUsage(aQuery));
 }
 
+std::optional<ReplyBody> QueryServer::TryRead(const ReadStream& aQuery) const
+{
+  // The origin of a stream never changes, but this leader may have been
+  // replaced before it was recorded.
+  const StreamOrigin* origin = m_replica.GetState().FindStream(aQuery.m_id);
+  return origin == nullptr ? std::nullopt
+                           : std::optional(ReplyBody(StreamView{ *origin }));
+}
+
 void QueryServer::ConfirmAndAnswer(
   const Query& aQuery,
   std::function<void(std::optional<ReplyBody>)> aCallback)
@@ -210,7 +219,10 @@
             callback(ReplyBody(MakeDirectoryView(aWatch)));
           },
           [&](const RequestPermit& aRequest) { callback(TryRead(aRequest)); },
-          [&](const SubmitUsage& aUsage) { callback(TryRead(aUsage)); } },
+          [&](const SubmitUsage& aUsage) { callback(TryRead(aUsage)); },
+          [&](const ReadStream& aStream) {
+            callback(TryRead(aStream).value_or(ReplyBody(StreamView{})));
+          } },
         aQuery);
     });
 }
--- a/src/auburntrestle/fleet/query_server.hpp
+++ b/src/auburntrestle/fleet/query_server.hpp
@@ -84,6 +84,8 @@
   [[nodiscard]] std::optional<ReplyBody> TryRead(
     const ReadRetirement& aQuery) const;
   [[nodiscard]] std::optional<ReplyBody> TryRead(const Watch& aQuery) const;
+  [[nodiscard]] std::optional<ReplyBody> TryRead(
+    const ReadStream& aQuery) const;
   [[nodiscard]] std::optional<ReplyBody> TryRead(
     const RequestPermit& aQuery) const;
   [[nodiscard]] std::optional<ReplyBody> TryRead(
--- a/src/auburntrestle/fleet/request_relay.cpp
+++ b/src/auburntrestle/fleet/request_relay.cpp
@@ -15,6 +15,7 @@
 using observe::LogLevel;
 using observe::LogLine;
 
+constexpr int kStatusOk = 200;
 constexpr int kStatusServerError = 500;
 constexpr int kStatusMisdirected = 421;
 constexpr int kStatusBadGateway = 502;
@@ -42,6 +43,7 @@
 struct RequestRelay::Attempt
 {
   BackendId m_backend;
+  SoftwareVersion m_software;
   std::shared_ptr<http::Call> m_call;
   TimePoint m_sentAt{};
 };
@@ -57,6 +59,11 @@
   /** The window in which the request counts as begun, if it does. */
   std::optional<UsageWindow> m_usageWindow;
   bool m_idempotent = false;
+  /** The response is a stream that its caller may resume. */
+  bool m_resumable = false;
+  /** The software that began the stream which the request resumes; absent if it
+   * resumes none. */
+  std::optional<SoftwareVersion> m_software;
   std::uint32_t m_maxAttempts = 1;
   TimePoint m_deadline{};
   std::string m_requestId;
@@ -106,6 +113,8 @@
   relayed->m_configuration = aConfiguration;
   relayed->m_service = aService;
   relayed->m_idempotent = aRoute.m_kind == RouteKind::Idempotent;
+  relayed->m_resumable =
+    aRoute.m_kind == RouteKind::Streaming && aRoute.m_resumable;
   relayed->m_maxAttempts = std::max(aRoute.m_maxAttempts, 1U);
   relayed->m_deadline = aExchange->ReceivedAt() + TimeLimit(request, aRoute);
   relayed->m_headers = MakeHeaders(request.m_headers, aAccount);
@@ -134,7 +143,47 @@
       StartHedge(relayed);
     });
   }
-  StartAttempt(relayed);
+  const auto& received = aExchange->GetRequest().m_headers;
+  const auto stream = received.Find(m_headers.m_resumedStream);
+  const bool resumes = stream || received.Find(m_headers.m_lastEvent);
+  if (aRoute.m_kind == RouteKind::Streaming && resumes) {
+    StartResumption(
+      relayed, aRoute, StreamId(std::string(stream.value_or(""))));
+  } else {
+    StartAttempt(relayed);
+  }
+}
+
+void RequestRelay::StartResumption(
+  const std::shared_ptr<RelayedRequest>& aRelayed,
+  const Route& aRoute,
+  const StreamId& aStream)
+{
+  if (!aRelayed->m_resumable || aStream == StreamId() || !m_streams.m_find) {
+    Refuse(aRelayed, kStatusUnavailable);
+    return;
+  }
+  std::set<ServiceName> services;
+  for (const auto& target : aRoute.m_targets) {
+    services.insert(target.m_service);
+  }
+  m_streams.m_find(aStream,
+                   [this, aRelayed, services = std::move(services)](
+                     const std::optional<StreamOrigin>& aOrigin) {
+                     if (aRelayed->m_done) {
+                       return;
+                     }
+                     const bool known =
+                       aOrigin && aOrigin->m_software != SoftwareVersion() &&
+                       services.contains(aOrigin->m_service);
+                     if (!known) {
+                       Refuse(aRelayed, kStatusUnavailable);
+                       return;
+                     }
+                     aRelayed->m_service = aOrigin->m_service;
+                     aRelayed->m_software = aOrigin->m_software;
+                     StartAttempt(aRelayed);
+                   });
 }
 
 Duration RequestRelay::TimeLimit(const http::Request& aRequest,
@@ -180,8 +229,10 @@
 {
   const bool mayTry =
     aRelayed.m_tried.size() < aRelayed.m_maxAttempts && HasTimeLeft(aRelayed);
-  return mayTry ? m_chooser.Choose(
-                    aRelayed.m_service, aRelayed.m_tried, MonotonicClock::Now())
+  return mayTry ? m_chooser.Choose(aRelayed.m_service,
+                                   aRelayed.m_tried,
+                                   MonotonicClock::Now(),
+                                   aRelayed.m_software)
                 : nullptr;
 }
 
@@ -243,6 +294,7 @@
   request.m_headers.Set(m_headers.m_expectedBackend, aBackend.m_id.Get());
   auto attempt = std::make_shared<Attempt>();
   attempt->m_backend = aBackend.m_id;
+  attempt->m_software = aBackend.m_software;
   attempt->m_sentAt = now;
   aRelayed->m_tried.insert(aBackend.m_id);
   aRelayed->m_running.push_back(attempt);
@@ -336,7 +388,27 @@
     Finish(aRelayed, *aRelayed->m_errorResponse);
     return;
   }
-  Finish(aRelayed, *aResponse);
+  Deliver(aRelayed, *aAttempt, *aResponse);
+}
+
+void RequestRelay::Deliver(const std::shared_ptr<RelayedRequest>& aRelayed,
+                           const Attempt& aAttempt,
+                           const http::Response& aResponse)
+{
+  const bool beginsStream = aRelayed->m_resumable && !aRelayed->m_software &&
+                            aResponse.m_status == kStatusOk &&
+                            !aRelayed->m_requestId.empty() &&
+                            m_streams.m_record;
+  if (!beginsStream) {
+    Finish(aRelayed, aResponse);
+    return;
+  }
+  // The deadline may pass before the origin is recorded.
+  aRelayed->m_mayHaveRun = true;
+  m_streams.m_record(
+    StreamId(aRelayed->m_requestId),
+    StreamOrigin{ aRelayed->m_service, aAttempt.m_software },
+    [this, aRelayed, aResponse] { Finish(aRelayed, aResponse); });
 }
 
 void RequestRelay::HandleRefusal(
--- a/src/auburntrestle/fleet/request_relay.hpp
+++ b/src/auburntrestle/fleet/request_relay.hpp
@@ -36,6 +36,10 @@
   std::string m_apiKey = {};
   /** The client account of a request. */
   std::string m_account = {};
+  /** In a request that resumes a stream: its StreamId and the last event that
+   * the caller has. */
+  std::string m_resumedStream = {};
+  std::string m_lastEvent = {};
 };
 
 /** Settings of a RequestRelay. */
@@ -58,6 +62,21 @@
   std::function<void(const AccountName&, UsageWindow)> m_onNotRun;
 };
 
+/** Remembers which software began the streams that callers may resume, at any
+ * instance and also after all entry instances have restarted. */
+struct StreamHooks
+{
+  /** Records the origin of a stream. Calls back once it is recorded or has
+   * failed; then the stream can't be resumed. */
+  std::function<
+    void(const StreamId&, const StreamOrigin&, std::function<void()>)>
+    m_record;
+  /** Calls back with the origin of a stream, or nothing if it is unknown. */
+  std::function<void(const StreamId&,
+                     std::function<void(std::optional<StreamOrigin>)>)>
+    m_find;
+};
+
 /** Asks whether a request may be sent to a backend server that stated a rate
  * limit. The callback receives nothing if it may, otherwise the time after
  * which it is worth asking again. */
@@ -69,7 +88,8 @@
  * Relays requests whose response is not streamed. A response is forwarded only
  * when it is complete and its request id matches. An idempotent request is
  * retried on another backend server after a failure, and hedged after a delay.
- * Any other request is retried only when it certainly was not run.
+ * Any other request is retried only when it certainly was not run. A stream is
+ * resumed only on backend servers with the software that began it.
  */
 class RequestRelay
 {
@@ -86,6 +106,9 @@
    */
   void SetUsageHooks(UsageHooks aHooks) { m_usage = std::move(aHooks); }
 
+  /** Sets what remembers the origins of streams; without, none is resumed. */
+  void SetStreamHooks(StreamHooks aHooks) { m_streams = std::move(aHooks); }
+
   /** @return the longest time that a request of a route may take: the timeout
    * of the route, or what the caller has left. */
   [[nodiscard]] Duration TimeLimit(const http::Request& aRequest,
@@ -114,6 +137,11 @@
    * set for each attempt. */
   [[nodiscard]] http::Headers MakeHeaders(const http::Headers& aReceived,
                                           const RequestAccount& aAccount) const;
+  /** Starts a request that resumes a stream once it is known which software
+   * began it; refuses it if that is unknown. */
+  void StartResumption(const std::shared_ptr<RelayedRequest>& aRelayed,
+                       const Route& aRoute,
+                       const StreamId& aStream);
   void StartAttempt(const std::shared_ptr<RelayedRequest>& aRelayed);
   /** Sends a request once another instance has granted a permit for it. */
   void StartWithPermit(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -139,6 +167,10 @@
                      const std::shared_ptr<Attempt>& aAttempt,
                      http::CallFailure aFailure);
   void RetryOrFinish(const std::shared_ptr<RelayedRequest>& aRelayed);
+  /** Passes a response on. The origin of a new stream is recorded before. */
+  void Deliver(const std::shared_ptr<RelayedRequest>& aRelayed,
+               const Attempt& aAttempt,
+               const http::Response& aResponse);
   void Finish(const std::shared_ptr<RelayedRequest>& aRelayed,
               const http::Response& aResponse);
   void Refuse(const std::shared_ptr<RelayedRequest>& aRelayed, int aStatus);
@@ -156,6 +188,7 @@
   RelayOptions m_options;
   PermitFunction m_requestPermit;
   UsageHooks m_usage;
+  StreamHooks m_streams;
   observe::Instruments& m_instruments;
 };
 
--- a/src/auburntrestle/fleet/state.hpp
+++ b/src/auburntrestle/fleet/state.hpp
@@ -76,6 +76,8 @@
   {
     return m_weights;
   }
+  /** @return the origin of a stream, or null if it is not known (any more). */
+  [[nodiscard]] const StreamOrigin* FindStream(const StreamId& aId) const;
   [[nodiscard]] const UsageState& Usage() const noexcept { return m_usage; }
   [[nodiscard]] const std::map<InstanceId, MemberRecord>& Members()
     const noexcept
@@ -114,6 +116,10 @@
    * reject late announcements. */
   static constexpr std::size_t kMaxRemoved = 4096;
 
+  /** Longer than a caller tries to resume a stream. */
+  static constexpr WallTime kStreamRetention = std::chrono::seconds(120);
+  static constexpr std::size_t kMaxStreams = 20'000;
+
   CommandResult On(const PutConfiguration& aCommand);
   CommandResult On(const AnnounceBackend& aCommand);
   CommandResult On(const RemoveBackend& aCommand);
@@ -132,6 +138,8 @@
   CommandResult On(const RecordDutyLease& aCommand);
   CommandResult On(const RecordUsage& aCommand);
   CommandResult On(const CompleteUsage& aCommand);
+  CommandResult On(const RecordStream& aCommand);
+  void AddStream(const StreamRecord& aStream);
   /** Reads the members or a job of a snapshot. */
   void ReadMembers(protocol::Reader& aReader);
   void ReadJob(protocol::Reader& aReader);
@@ -172,6 +180,9 @@
   /** What m_jobs take in memory. */
   std::size_t m_jobMemory = 0;
   UsageState m_usage;
+  std::unordered_map<StreamId, StreamRecord> m_streams;
+  /** The ids of m_streams, oldest first. */
+  std::deque<StreamId> m_streamOrder;
 };
 
 } // namespace auburntrestle::fleet
--- a/src/auburntrestle/fleet/state_snapshot.cpp
+++ b/src/auburntrestle/fleet/state_snapshot.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** Parts of a snapshot. */
-constexpr std::size_t kParts = 9;
+constexpr std::size_t kParts = 10;
 /** Parts of a snapshot of the first build; later ones are at its end. */
 constexpr std::size_t kFirstParts = 8;
 
@@ -46,6 +46,10 @@
            job.m_progress);
   }
   writer.Write(m_usage);
+  writer.WriteArrayHeader(m_streamOrder.size());
+  for (const auto& id : m_streamOrder) {
+    writer.Write(m_streams.at(id));
+  }
   return writer.ExtractBytes();
 }
 
@@ -124,6 +128,13 @@
   if (reader.HasMoreElements()) {
     reader.Read(state.m_usage);
   }
+  if (reader.HasMoreElements()) {
+    std::vector<StreamRecord> streams;
+    reader.Read(streams);
+    for (const auto& stream : streams) {
+      state.AddStream(stream);
+    }
+  }
   reader.LeaveArray();
   if (auto result = reader.Result(); !result) {
     return tl::unexpected(std::move(result).error());
--- a/src/auburntrestle/fleet/store_service.cpp
+++ b/src/auburntrestle/fleet/store_service.cpp
@@ -439,6 +439,7 @@
       },
       [](const RecordUsage&) {},
       [](const CompleteUsage&) {},
+      [](const RecordStream&) {},
       [](const ForgetJobs& aForgotten) {
         LogLine(LogLevel::Info, "jobs_forgotten")
           .Add("jobs", aForgotten.m_jobs.size());
--- a/test/auburntrestle/fleet/software_version_test.cpp
+++ b/test/auburntrestle/fleet/software_version_test.cpp
@@ -1,4 +1,5 @@
 #include "auburntrestle/consensus/memory_files.hpp"
+#include "auburntrestle/fleet/backend_chooser.hpp"
 #include "auburntrestle/fleet/codec.hpp"
 #include "auburntrestle/fleet/item_scheduler.hpp"
 #include "auburntrestle/fleet/item_transcript.hpp"
@@ -87,6 +88,21 @@
 
   void Restart() { m_state = *State::Restore(m_state.Snapshot(), *m_outputs); }
 
+  void RecordStreamAt(const std::string& aId,
+                      const std::string& aSoftware,
+                      WallTime aAt)
+  {
+    Apply(RecordStream{
+      { StreamId(aId), { kService, SoftwareVersion(aSoftware) }, aAt } });
+  }
+
+  /** @return the software that began a stream; empty if it is unknown. */
+  [[nodiscard]] std::string SoftwareOf(const std::string& aStream) const
+  {
+    const auto* origin = m_state.FindStream(StreamId(aStream));
+    return origin == nullptr ? "" : origin->m_software.Get();
+  }
+
   consensus::test::MemoryFiles m_files;
   std::unique_ptr<OutputStore> m_outputs =
     std::move(*OutputStore::Open("/texts", m_files, 1));
@@ -122,5 +138,36 @@
             SoftwareVersion("v1"));
 }
 
+// Guards against a stream that is taken up with other software after all
+// entry instances have restarted, and against records without end.
+TEST_F(SoftwareStateTest, StreamsAreRememberedForATime)
+{
+  const WallTime start = std::chrono::hours(1);
+  RecordStreamAt("first", "v1", start);
+  RecordStreamAt("first", "v2", start + std::chrono::seconds(1));
+  RecordStreamAt("second", "v2", start + std::chrono::seconds(100));
+  Restart();
+  EXPECT_EQ(SoftwareOf("first"), "v1");
+  RecordStreamAt("third", "v2", start + std::chrono::seconds(121));
+  EXPECT_EQ(SoftwareOf("first"), "");
+  EXPECT_EQ(SoftwareOf("second"), "v2");
+  EXPECT_EQ(SoftwareOf("third"), "v2");
+}
+
+// Guards against a request that is sent to other software than it may go on at.
+TEST(ChooserSoftwareTest, ChoosesOnlyTheSoftwareAskedFor)
+{
+  BackendRecord record;
+  record.m_id = BackendId("backend");
+  record.m_service = kService;
+  record.m_software = SoftwareVersion("v1");
+  BackendChooser chooser{ DataCentreId("here") };
+  chooser.SetBackends({ record });
+  const TimePoint now{ std::chrono::seconds(1) };
+  EXPECT_NE(chooser.Choose(kService, {}, now), nullptr);
+  EXPECT_NE(chooser.Choose(kService, {}, now, SoftwareVersion("v1")), nullptr);
+  EXPECT_EQ(chooser.Choose(kService, {}, now, SoftwareVersion("v2")), nullptr);
+}
+
 } // namespace
 } // namespace auburntrestle::fleet
--- a/test/platform/software_versions_test.cpp
+++ b/test/platform/software_versions_test.cpp
@@ -169,5 +169,97 @@
     ItemCase{ "same_software_beside_other", { "v2", "v1" }, "e-1", "e-3" }),
   [](const auto& aInfo) { return aInfo.param.m_name; });
 
+/** A caller that takes a stream up. */
+struct StreamCase
+{
+  std::string m_name;
+  bool m_entryRestarts = false;
+  /** The servers with the software that began the stream leave before. */
+  bool m_softwareLeaves = false;
+  /** The request names the stream. */
+  bool m_namesStream = true;
+};
+
+class StreamSoftwareTest
+  : public SmallDeployment
+  , public testing::TestWithParam<StreamCase>
+{
+protected:
+  [[nodiscard]] static Json StreamingConfiguration()
+  {
+    Json configuration = Configuration();
+    configuration["routes"].push_back(
+      Json::parse(R"({"name":"streams","host":"app.example",
+        "path_prefix":"/streams/","route_type":"streaming","timeout_ms":2000,
+        "latency_target_ms":400,"priority":1,"service":"writers",
+        "max_attempts":2,"resumable":true})"));
+    configuration["services"].push_back(Json::parse(R"({"name":"writers",
+        "health_path":"/h","max_conns":90,"protocol":"h1","tls":false})"));
+    return configuration;
+  }
+
+  /** @return the server that answered, or the status of a refusal. */
+  std::string AnswerTo(const http::Request& aRequest)
+  {
+    const auto response = FetchFrom(Target::Callers, aRequest);
+    if (!response || response->m_status != 200) {
+      return response ? std::to_string(response->m_status) : "none";
+    }
+    const auto data = response->m_body.find("data: ") + 6;
+    return response->m_body.substr(data,
+                                   response->m_body.find('-', data) - data);
+  }
+
+  [[nodiscard]] static http::Request Resumption(int aTry)
+  {
+    auto request =
+      WithId("POST", "/streams/x", "", "again" + std::to_string(aTry));
+    request.m_headers.Add(names::kLastEvent, "1");
+    if (GetParam().m_namesStream) {
+      request.m_headers.Add("Resumes", "first");
+    }
+    return request;
+  }
+};
+
+// Guards against a stream that a caller takes up at a server with another
+// software version than the one that began it, also at an instance that has
+// restarted meanwhile.
+TEST_P(StreamSoftwareTest, GoesOnOnlyAtTheSoftwareThatBeganIt)
+{
+  constexpr int kTries = 10;
+  SetUpService(StreamingConfiguration());
+  StreamingServer one(m_loop, "one");
+  StreamingServer two(m_loop, "two");
+  Announce("w-2", "writers", two.Server(), "v2");
+  const auto first = WithId("POST", "/streams/x", "", "first");
+  while (AnswerTo(first) != "two") {
+    WaitFor(std::chrono::milliseconds(20));
+  }
+  Announce("w-1", "writers", one.Server(), "v1");
+  if (GetParam().m_softwareLeaves) {
+    Announce("w-2", "writers", two.Server(), "v2", "draining");
+  }
+  WaitFor(std::chrono::milliseconds(500));
+  const bool goesOn = !GetParam().m_softwareLeaves && GetParam().m_namesStream;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    if (GetParam().m_entryRestarts && attempt == 0) {
+      RestartEntry();
+      SendUntilServed(Target::Callers, "POST", "/plain/x", "query");
+    }
+    EXPECT_EQ(AnswerTo(Resumption(attempt)), goesOn ? "two" : "503");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Streams,
+  StreamSoftwareTest,
+  testing::Values(StreamCase{ "at_the_same_instance" },
+                  StreamCase{ "after_a_restart", true },
+                  StreamCase{ "after_the_software_left", false, true },
+                  StreamCase{ "after_both", true, true },
+                  StreamCase{ "without_a_name", false, false, false }),
+  [](const auto& aInfo) { return aInfo.param.m_name; });
+
 } // namespace
 } // namespace auburntrestle::platform::test
