--- a/src/auburntrestle/event_loop/fwd.hpp
+++ b/src/auburntrestle/event_loop/fwd.hpp
@@ -4,6 +4,7 @@
 namespace auburntrestle::event_loop {
 
 class EventLoop;
+struct LoopCounts;
 
 } // namespace auburntrestle::event_loop
 
--- a/src/auburntrestle/fleet/item_transcript.cpp
+++ b/src/auburntrestle/fleet/item_transcript.cpp
@@ -45,12 +45,6 @@
   DiscardEvent();
 }
 
-bool ItemTranscript::MayContinue(const SoftwareVersion& aSoftware) const
-{
-  return !m_lastEvent ||
-         (aSoftware != SoftwareVersion() && aSoftware == m_software);
-}
-
 std::optional<SoftwareVersion> ItemTranscript::Software() const
 {
   return m_lastEvent ? std::optional(m_software) : std::nullopt;
--- a/src/auburntrestle/fleet/item_transcript.hpp
+++ b/src/auburntrestle/fleet/item_transcript.hpp
@@ -53,11 +53,12 @@
                           TranscriptLimits aLimits = {});
 
   /**
-   * Begins a run that continues after LastEvent(). There must be no event yet
-   * unless MayContinue(aSoftware).
+   * Begins a run that continues after LastEvent().
    *
    * @param aVersion the weight version at the start of the run, if known.
-   * @param aSoftware the software of the engine.
+   * @param aSoftware the software of the engine; that of the output so far, if
+   *   there is any: engines do not check that they understand what others
+   *   generated.
    */
   void BeginRun(std::optional<WeightVersion> aVersion,
                 SoftwareVersion aSoftware);
@@ -72,9 +73,6 @@
 
   /** @return whether the last event of the run is incomplete. */
   [[nodiscard]] bool IsInsideEvent() const noexcept;
-  /** @return whether a run on an engine with this software can continue the
-   * output: engines do not check that they understand what others generated. */
-  [[nodiscard]] bool MayContinue(const SoftwareVersion& aSoftware) const;
   /** @return the software that generated the output, if there is any. */
   [[nodiscard]] std::optional<SoftwareVersion> Software() const;
   /** Replaces the output by one that was collected earlier. */
